Serve a request from end to end as separate processes

Cause: nothing existed.

Change: daemon, command line, checked settings and configuration, membership by relays of failure domains, apply by prepare and conditional update, at-most-once ledger with primary and backup, admission by rank, look-ups; stand-ins for the store and the backend servers under tests.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+STAMP := $(VENV)/.installed
+
+.PHONY: install demo test codestyle format measure clean
+
+install: $(STAMP)
+
+$(STAMP): requirements.lock pyproject.toml
+	python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check --no-deps --editable .
+	touch $(STAMP)
+
+demo: install
+	$(PYTHON) -m tests.support.demo
+
+test: install
+	$(PYTHON) -m tests.run
+
+codestyle: install
+	$(PYTHON) -m black --quiet --check --diff papayalever tests
+	$(PYTHON) -m ruff check papayalever tests
+
+format: install
+	$(PYTHON) -m black --quiet papayalever tests
+	$(PYTHON) -m ruff check --fix papayalever tests
+
+measure: install
+	$(PYTHON) -m tests.measure.all
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/papayalever/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line."""
--- /dev/null
+++ b/papayalever/cli/exceptions.py
@@ -0,0 +1,11 @@
+"""Errors of commands."""
+
+from ..status import ExitStatus
+
+
+class CommandError(Exception):
+    """A failed command: one plain sentence with the remedy, and its exit status."""
+
+    def __init__(self, text: str, exit_status: ExitStatus) -> None:
+        super().__init__(text)
+        self.exit_status = exit_status
--- /dev/null
+++ b/papayalever/cluster/__init__.py
@@ -0,0 +1,1 @@
+"""Membership and shared objects of the instances."""
--- /dev/null
+++ b/papayalever/cluster/gossip.py
@@ -0,0 +1,289 @@
+"""Tasks that keep membership and shared objects the same on every instance.
+
+Each instance calls the relays of its failure domain; relays call the relays of the others. One
+call a second carries the heartbeat, changed records and newer objects both ways.
+"""
+
+import asyncio
+import itertools
+import random
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import Any
+
+import logbook
+from reactivex.subject import Subject
+
+from ..store import StoreClient, StoreError, StoreThrottledError
+from .exceptions import PeerUnreachableError
+from .links import LinkPool
+from .membership import SYNC_INTERVAL_S, MembershipTable
+from .messages import Broadcast, Done, Member, MemberState, ObjectUpdate, Sync, SyncReply
+from .objects import ObjectCache
+
+CALL_TIMEOUT_S = 1.0
+LEASE_S = 3.0
+"""Shorter than the silence after which a relay declares a member dead."""
+SHARED_PREFIX = "shared/"
+WATCH_RETRY_S = 1.0
+REMEMBERED_BROADCASTS = 10_000
+
+log = logbook.Logger("cluster")
+
+Clock = Callable[[], float]
+
+
+class Gossip:
+    """Owns the membership table and the object cache of one instance."""
+
+    def __init__(
+        self,
+        own: Member,
+        seeds: tuple[str, ...],
+        pool: LinkPool,
+        store: StoreClient,
+        clock: Clock,
+    ) -> None:
+        self.table = MembershipTable(own)
+        self.objects = ObjectCache()
+        self.member_changes: Subject[list[Member]] = Subject()
+        self.broadcasts: Subject[Any] = Subject()
+        self.has_heard_peer = False
+        self._seeds = seeds
+        self._pool = pool
+        self._store = store
+        self._clock = clock
+        self._broadcast_ids = itertools.count(1)
+        self._seen_broadcasts: OrderedDict[str, None] = OrderedDict()
+        self._merged_sequence: dict[str, tuple[int, int]] = {}
+        self._told_sequence: dict[str, tuple[int, int]] = {}
+        self._answered_at: dict[str, float] = {}
+        self._pushes: set[asyncio.Task] = set()
+
+    @property
+    def is_relay(self) -> bool:
+        """Whether this instance relays for its failure domain."""
+        return self.table.is_relay(self._clock())
+
+    def holds_lease(self) -> bool:
+        """Whether no relay can have declared this instance dead yet.
+
+        The relays are the witnesses: each must have answered a heartbeat that was sent within
+        `LEASE_S`. An instance that was paused finds its lease lapsed.
+        """
+        now = self._clock()
+        table = self.table
+        witnesses = [
+            relay.peer_address
+            for relay in table.relays(table.own.failure_domain, now)
+            if relay.id != table.own_id
+        ]
+        if not witnesses:
+            return any(now - at < LEASE_S for at in self._answered_at.values())
+        return all(now - self._answered_at.get(item, -LEASE_S) < LEASE_S for item in witnesses)
+
+    async def run(self) -> None:
+        """Exchange heartbeats until cancelled."""
+        while True:
+            await self.sync_round()
+            await asyncio.sleep(SYNC_INTERVAL_S * random.uniform(0.9, 1.1))
+
+    async def run_watch(self) -> None:
+        """As a relay, watch the store for shared objects until cancelled."""
+        revision = 0
+        while True:
+            if not self.is_relay:
+                await asyncio.sleep(WATCH_RETRY_S)
+                continue
+            try:
+                result = await self._store.watch(SHARED_PREFIX, revision)
+            except StoreThrottledError:
+                await asyncio.sleep(WATCH_RETRY_S * random.uniform(2.0, 5.0))
+                continue
+            except StoreError:
+                await asyncio.sleep(WATCH_RETRY_S * random.uniform(0.5, 1.5))
+                continue
+            # A store that came back may count revisions from an older state.
+            revision = result.revision
+            for item in result.objects:
+                name = item.key.removeprefix(SHARED_PREFIX)
+                self.publish(ObjectUpdate(name, item.version, item.value.decode()))
+
+    async def sync_round(self) -> None:
+        """Call every instance that this one exchanges heartbeats with."""
+        now = self._clock()
+        if self.table.is_relay(now):
+            dead = self.table.sweep(now)
+            for member in dead:
+                log.info("instance {} is dead", member.id)
+            if dead:
+                self.member_changes.on_next(dead)
+        self.table.forget_dead(now)
+        targets = self._targets(now)
+        calls = [self._sync_with(address, member_id) for address, member_id in targets.items()]
+        await asyncio.gather(*calls)
+        if not self.has_heard_peer:
+            await self._ask_platform()
+
+    def handle_sync(self, sync: Sync) -> SyncReply:
+        """Answer a heartbeat."""
+        now = self._clock()
+        self.has_heard_peer = True
+        self._merge([sync.sender, *sync.records], now)
+        self.table.note_heard(sync.sender, now)
+        table = self.table
+        silent = sorted(table.silent_domains) if table.is_relay(now) else []
+        known = sync.known_sequence
+        return SyncReply(
+            incarnation=table.own.incarnation,
+            sequence=table.sequence,
+            records=table.changes_since(known),
+            updates=self.objects.newer_than(sync.versions),
+            silent_domains=silent,
+        )
+
+    def handle_broadcast(self, broadcast: Broadcast) -> Done:
+        """Deliver a broadcast once and, as a relay, forward it."""
+        if self._remember(broadcast.id):
+            self._deliver(broadcast.message)
+            if self.is_relay:
+                self._forward(broadcast)
+        return Done()
+
+    def broadcast(self, message: Any) -> None:
+        """Send a message to every instance; this one does not receive it."""
+        own = self.table.own
+        broadcast = Broadcast(f"{own.replica}/{next(self._broadcast_ids)}", message)
+        self._remember(broadcast.id)
+        self._forward(broadcast)
+
+    def publish(self, update: ObjectUpdate) -> None:
+        """Take over a shared object and, if it is new, broadcast it."""
+        if self.objects.offer(update):
+            self.broadcast(update)
+
+    def announce(self, state: MemberState) -> None:
+        """Tell every instance the new state of this one."""
+        self.table.set_own_state(state, self._clock())
+        self.broadcast(self.table.own)
+        self.member_changes.on_next([self.table.own])
+
+    def announce_own(self) -> None:
+        """Tell every instance that this one exists."""
+        self.broadcast(self.table.own)
+
+    def _targets(self, now: float) -> dict[str, str]:
+        """Peer address and id of the instances to call, seeds without an id."""
+        table = self.table
+        targets = {
+            member.peer_address: member.id
+            for domain in self._called_domains(now)
+            for member in table.relays(domain, now)
+            if member.id != table.own_id
+        }
+        if not self.has_heard_peer or not targets:
+            own_address = table.own.peer_address
+            targets |= {seed: targets.get(seed, "") for seed in self._seeds if seed != own_address}
+        return targets
+
+    def _called_domains(self, now: float) -> set[str]:
+        if self.table.is_relay(now):
+            return self.table.domains()
+        return {self.table.own.failure_domain}
+
+    async def _sync_with(self, address: str, member_id: str) -> None:
+        table = self.table
+        incarnation, merged = self._merged_sequence.get(address, (0, 0))
+        told_incarnation, told = self._told_sequence.get(address, (0, 0))
+        sequence = table.sequence
+        records = table.changes_since(told if told_incarnation == incarnation else 0)
+        sync = Sync(table.own, merged, records, self.objects.versions())
+        sent_at = self._clock()
+        try:
+            reply = await self._pool.request(address, sync, CALL_TIMEOUT_S)
+        except PeerUnreachableError:
+            if member_id:
+                table.note_failed(member_id, self._clock())
+            self._merged_sequence.pop(address, None)
+            self._told_sequence.pop(address, None)
+            return
+        self._told_sequence[address] = (reply.incarnation, sequence)
+        self._answered_at[address] = sent_at
+        self._take_reply(address, member_id, reply, incarnation)
+
+    def _take_reply(self, address: str, member_id: str, reply: SyncReply, incarnation: int) -> None:
+        now = self._clock()
+        self.has_heard_peer = True
+        self._merge(reply.records, now)
+        member = self.table.get(member_id)
+        if member:
+            self.table.note_heard(member, now)
+        if reply.incarnation == incarnation or not incarnation:
+            self._merged_sequence[address] = (reply.incarnation, reply.sequence)
+        else:
+            self._merged_sequence.pop(address, None)
+        for update in reply.updates:
+            self.objects.offer(update)
+        is_own_relay = member and member.failure_domain == self.table.own.failure_domain
+        if is_own_relay and not self.table.is_relay(now):
+            self.table.silent_domains = frozenset(reply.silent_domains)
+
+    def _merge(self, records: list[Member], now: float) -> None:
+        changed = self.table.merge(records, now)
+        if changed:
+            self.member_changes.on_next(changed)
+
+    async def _ask_platform(self) -> None:
+        """Find peers in the platform's list when no seed answers."""
+        try:
+            listed = await self._store.list_instances()
+        except StoreError:
+            return
+        own = self.table.own
+        addresses = [item.peer_address for item in listed if item.id != own.id]
+        for address in random.sample(addresses, min(3, len(addresses))):
+            if address:
+                await self._sync_with(address, "")
+
+    def _deliver(self, message: Any) -> None:
+        if isinstance(message, ObjectUpdate):
+            self.objects.offer(message)
+        elif isinstance(message, Member):
+            self._merge([message], self._clock())
+        else:
+            self.broadcasts.on_next(message)
+
+    def _remember(self, broadcast_id: str) -> bool:
+        if broadcast_id in self._seen_broadcasts:
+            return False
+        self._seen_broadcasts[broadcast_id] = None
+        if len(self._seen_broadcasts) > REMEMBERED_BROADCASTS:
+            self._seen_broadcasts.popitem(last=False)
+        return True
+
+    def _forward(self, broadcast: Broadcast) -> None:
+        now = self._clock()
+        table = self.table
+        targets = {
+            member.peer_address
+            for domain in self._called_domains(now)
+            for member in table.relays(domain, now)
+        }
+        if table.is_relay(now):
+            targets |= {
+                member.peer_address
+                for member in table.members
+                if member.failure_domain == table.own.failure_domain
+                and member.state != MemberState.DEAD
+            }
+        for address in targets - {table.own.peer_address}:
+            task = asyncio.create_task(self._push(address, broadcast))
+            self._pushes.add(task)
+            task.add_done_callback(self._pushes.discard)
+
+    async def _push(self, address: str, broadcast: Broadcast) -> None:
+        try:
+            await self._pool.request(address, broadcast, CALL_TIMEOUT_S)
+        except PeerUnreachableError:
+            # The next heartbeat carries records and objects; other messages are hints.
+            return
--- /dev/null
+++ b/papayalever/cluster/links.py
@@ -0,0 +1,216 @@
+"""Connections between instances: requests with replies over WebSocket frames."""
+
+import asyncio
+import inspect
+import itertools
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from typing import Any
+
+from websockets.asyncio.client import ClientConnection, connect
+from websockets.asyncio.server import Server, ServerConnection, serve
+from websockets.exceptions import ConnectionClosed, InvalidHandshake
+
+from .codec import decode, encode
+from .exceptions import CodecError, PeerTimeoutError, PeerUnreachableError
+
+CONNECT_TIMEOUT_S = 1.0
+PING_INTERVAL_S = 5.0
+PING_TIMEOUT_S = 5.0
+MAX_FRAME_BYTES = 32 * 1024 * 1024
+IDLE_LINK_S = 60.0
+
+Handler = Callable[[Any], Any | Awaitable[Any]]
+
+
+class Link:
+    """One outgoing connection that owns its socket and its pending calls."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.is_closed = False
+        self._socket: ClientConnection | None = None
+        self._reader: asyncio.Task | None = None
+        self._call_ids = itertools.count(1)
+        self._reply_by_call: dict[int, asyncio.Future] = {}
+
+    async def open(self) -> None:
+        """Connect; raises `PeerUnreachableError`."""
+        try:
+            self._socket = await connect(
+                f"ws://{self.address}/",
+                open_timeout=CONNECT_TIMEOUT_S,
+                ping_interval=PING_INTERVAL_S,
+                ping_timeout=PING_TIMEOUT_S,
+                close_timeout=1.0,
+                max_size=MAX_FRAME_BYTES,
+                compression=None,
+                proxy=None,
+            )
+        except (OSError, TimeoutError, InvalidHandshake, EOFError) as error:
+            self.is_closed = True
+            raise PeerUnreachableError(f"No connection to {self.address}.") from error
+        self._reader = asyncio.create_task(self._read_replies(), name=f"link-{self.address}")
+
+    async def request(self, message: Any) -> Any:
+        """Send a message and wait for its reply; raises `PeerUnreachableError`."""
+        call_id = next(self._call_ids)
+        reply = asyncio.get_running_loop().create_future()
+        self._reply_by_call[call_id] = reply
+        try:
+            await self._send(call_id, message)
+            return await reply
+        finally:
+            self._reply_by_call.pop(call_id, None)
+
+    async def notify(self, message: Any) -> None:
+        """Send a message that has no reply; raises `PeerUnreachableError`."""
+        await self._send(0, message)
+
+    async def close(self) -> None:
+        """Close the connection and fail the pending calls."""
+        self.is_closed = True
+        if self._reader:
+            self._reader.cancel()
+        if self._socket:
+            self._socket.transport.abort()
+        self._fail_pending()
+
+    async def _send(self, call_id: int, message: Any) -> None:
+        try:
+            await self._socket.send(encode(call_id, message))
+        except ConnectionClosed as error:
+            self.is_closed = True
+            raise PeerUnreachableError(f"The connection to {self.address} was lost.") from error
+
+    async def _read_replies(self) -> None:
+        with suppress(ConnectionClosed, CodecError):
+            async for frame in self._socket:
+                call_id, message = decode(frame)
+                reply = self._reply_by_call.get(call_id)
+                if reply and not reply.done():
+                    reply.set_result(message)
+        self.is_closed = True
+        self._fail_pending()
+
+    def _fail_pending(self) -> None:
+        for reply in self._reply_by_call.values():
+            if not reply.done():
+                reply.set_exception(
+                    PeerUnreachableError(f"The connection to {self.address} was lost.")
+                )
+
+
+class LinkPool:
+    """Outgoing connections by address, opened on first use and renewed after a failure."""
+
+    def __init__(self) -> None:
+        self._link_by_address: dict[str, asyncio.Task[Link]] = {}
+        self.sent = 0
+
+    async def request(self, address: str, message: Any, timeout_s: float) -> Any:
+        """Ask a peer; raises `PeerTimeoutError` or `PeerUnreachableError`."""
+        link = None
+        try:
+            async with asyncio.timeout(timeout_s):
+                link = await self._open_link(address)
+                self.sent += 1
+                return await link.request(message)
+        except TimeoutError as error:
+            # A connection that went silent fails every later call: renew it.
+            if link:
+                await link.close()
+            raise PeerTimeoutError(f"{address} did not answer within {timeout_s:g} s.") from error
+
+    async def notify(self, address: str, message: Any, timeout_s: float = 1.0) -> None:
+        """Send without a reply; raises `PeerUnreachableError`."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                link = await self._open_link(address)
+                self.sent += 1
+                await link.notify(message)
+        except TimeoutError as error:
+            raise PeerTimeoutError(f"{address} did not accept a message.") from error
+
+    async def close(self) -> None:
+        """Close every connection."""
+        for task in self._link_by_address.values():
+            if task.done() and not task.cancelled() and not task.exception():
+                await task.result().close()
+            task.cancel()
+        self._link_by_address.clear()
+
+    async def _open_link(self, address: str) -> Link:
+        task = self._link_by_address.get(address)
+        if task is None or _is_spent(task):
+            task = asyncio.create_task(_dial(address), name=f"dial-{address}")
+            self._link_by_address[address] = task
+        return await asyncio.shield(task)
+
+
+def _is_spent(task: asyncio.Task[Link]) -> bool:
+    if not task.done():
+        return False
+    return task.cancelled() or task.exception() is not None or task.result().is_closed
+
+
+async def _dial(address: str) -> Link:
+    link = Link(address)
+    await link.open()
+    return link
+
+
+class LinkServer:
+    """Accepts connections of peers and answers their messages through a handler."""
+
+    def __init__(self, address: str, handle: Handler) -> None:
+        self._host, port = address.rsplit(":", 1)
+        self._port = int(port)
+        self._handle = handle
+        self._server: Server | None = None
+        self._tasks: set[asyncio.Task] = set()
+        self.received = 0
+
+    async def start(self) -> None:
+        """Listen for peers."""
+        self._server = await serve(
+            self._serve_peer,
+            self._host,
+            self._port,
+            ping_interval=PING_INTERVAL_S,
+            ping_timeout=PING_TIMEOUT_S,
+            close_timeout=1.0,
+            max_size=MAX_FRAME_BYTES,
+            compression=None,
+        )
+
+    async def close(self) -> None:
+        """Stop listening and drop the connections."""
+        if self._server:
+            self._server.close()
+            await self._server.wait_closed()
+        for task in self._tasks:
+            task.cancel()
+
+    async def _serve_peer(self, socket: ServerConnection) -> None:
+        with suppress(ConnectionClosed, CodecError):
+            async for frame in socket:
+                self.received += 1
+                call_id, message = decode(frame)
+                result = self._handle(message)
+                if inspect.isawaitable(result):
+                    self._answer_later(socket, call_id, result)
+                elif call_id:
+                    await socket.send(encode(call_id, result))
+
+    def _answer_later(self, socket: ServerConnection, call_id: int, result: Awaitable) -> None:
+        task = asyncio.create_task(_answer(socket, call_id, result))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+async def _answer(socket: ServerConnection, call_id: int, result: Awaitable) -> None:
+    reply = await result
+    if call_id:
+        with suppress(ConnectionClosed):
+            await socket.send(encode(call_id, reply))
--- /dev/null
+++ b/papayalever/cluster/membership.py
@@ -0,0 +1,185 @@
+"""Membership table: pure state and decisions, ``now`` in seconds of a monotonic clock."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+
+from .messages import Member, MemberState
+
+RELAYS_PER_DOMAIN = 2
+SYNC_INTERVAL_S = 1.0
+MEMBER_SILENCE_S = 3.5
+DOMAIN_SILENCE_S = 4.5
+SUSPECT_S = 5.0
+FORGET_DEAD_S = 3_600.0
+
+
+@dataclass(slots=True)
+class Entry:
+    """A member with the local sequence number and time of its last change."""
+
+    member: Member
+    sequence: int
+    changed_at: float
+
+
+class MembershipTable:
+    """Everything one instance knows about the others."""
+
+    def __init__(self, own: Member) -> None:
+        self.own_id = own.id
+        self.sequence = 0
+        self._entry_by_id: dict[str, Entry] = {}
+        self._heard_at_by_id: dict[str, float] = {}
+        self._suspect_until_by_id: dict[str, float] = {}
+        self._heard_at_by_domain: dict[str, float] = {}
+        self.silent_domains: frozenset[str] = frozenset()
+        self._store(own, now=0.0)
+
+    @property
+    def own(self) -> Member:
+        """The record of this instance."""
+        return self._entry_by_id[self.own_id].member
+
+    @property
+    def members(self) -> list[Member]:
+        """Every record, dead ones too."""
+        return [entry.member for entry in self._entry_by_id.values()]
+
+    def get(self, member_id: str) -> Member | None:
+        """The record with this id."""
+        entry = self._entry_by_id.get(member_id)
+        return entry.member if entry else None
+
+    def find_replica(self, replica: str) -> Member | None:
+        """The member whose current run is ``replica``, if it is reachable."""
+        member = self.get(replica.split("#", 1)[0])
+        if member is None or member.replica != replica or not self.is_reachable(member):
+            return None
+        return member
+
+    def is_reachable(self, member: Member) -> bool:
+        """Whether a member is not dead and its failure domain has been heard."""
+        if member.id == self.own_id:
+            return True
+        return member.state != MemberState.DEAD and member.failure_domain not in self.silent_domains
+
+    def live(self, region: str | None = None) -> list[Member]:
+        """Reachable members that accept new work, most senior first."""
+        found = (
+            entry.member
+            for entry in self._entry_by_id.values()
+            if entry.member.state == MemberState.LIVE
+            and (region is None or entry.member.region == region)
+            and self.is_reachable(entry.member)
+        )
+        return sorted(found, key=_seniority)
+
+    def merge(self, records: Iterable[Member], now: float) -> list[Member]:
+        """Take over newer records and return them; refutes a wrong one of this instance."""
+        changed = []
+        for record in records:
+            if record.id == self.own_id:
+                self._refute(record, now)
+                continue
+            known = self.get(record.id)
+            if known and _version(known) >= _version(record):
+                continue
+            self._store(record, now)
+            self._heard_at_by_id.setdefault(record.id, now)
+            if known is None or known.incarnation != record.incarnation:
+                self._heard_at_by_id[record.id] = now
+                self._suspect_until_by_id.pop(record.id, None)
+            changed.append(record)
+        return changed
+
+    def set_own_state(self, state: MemberState, now: float) -> None:
+        """Announce a new state of this instance."""
+        self._store(replace(self.own, state=state, revision=self.own.revision + 1), now)
+
+    def changes_since(self, sequence: int) -> list[Member]:
+        """Records that changed after a local sequence number."""
+        if sequence >= self.sequence:
+            return []
+        return [entry.member for entry in self._entry_by_id.values() if entry.sequence > sequence]
+
+    def note_heard(self, member: Member, now: float) -> None:
+        """Record a direct sign of life."""
+        self._heard_at_by_id[member.id] = now
+        self._suspect_until_by_id.pop(member.id, None)
+        self._heard_at_by_domain[member.failure_domain] = now
+
+    def note_failed(self, member_id: str, now: float) -> None:
+        """Record that a member did not answer; it is not used as a relay for a while."""
+        self._suspect_until_by_id[member_id] = now + SUSPECT_S
+
+    def relays(self, domain: str, now: float) -> list[Member]:
+        """The members of a failure domain that relay for it."""
+        candidates = (
+            entry.member
+            for entry in self._entry_by_id.values()
+            if entry.member.failure_domain == domain
+            and entry.member.state != MemberState.DEAD
+            and self._suspect_until_by_id.get(entry.member.id, 0.0) <= now
+        )
+        return sorted(candidates, key=_relay_order)[:RELAYS_PER_DOMAIN]
+
+    def is_relay(self, now: float) -> bool:
+        """Whether this instance relays for its failure domain."""
+        return any(item.id == self.own_id for item in self.relays(self.own.failure_domain, now))
+
+    def domains(self) -> set[str]:
+        """Failure domains with a member that is not dead."""
+        return {
+            entry.member.failure_domain
+            for entry in self._entry_by_id.values()
+            if entry.member.state != MemberState.DEAD
+        }
+
+    def sweep(self, now: float) -> list[Member]:
+        """As a relay: declare silent members of the own domain dead and judge the domains."""
+        dead = [item for item in self.members if self._is_silent(item, now)]
+        for member in dead:
+            self._store(replace(member, state=MemberState.DEAD, revision=member.revision + 1), now)
+        self.silent_domains = frozenset(
+            domain
+            for domain in self.domains() - {self.own.failure_domain}
+            if now - self._heard_at_by_domain.setdefault(domain, now) > DOMAIN_SILENCE_S
+        )
+        return dead
+
+    def forget_dead(self, now: float) -> None:
+        """Drop records of members that died long ago."""
+        for member_id, entry in list(self._entry_by_id.items()):
+            is_dead = entry.member.state == MemberState.DEAD
+            if is_dead and now - entry.changed_at > FORGET_DEAD_S:
+                del self._entry_by_id[member_id]
+
+    def _is_silent(self, member: Member, now: float) -> bool:
+        if member.id == self.own_id or member.state == MemberState.DEAD:
+            return False
+        if member.failure_domain != self.own.failure_domain:
+            return False
+        return now - self._heard_at_by_id.setdefault(member.id, now) > MEMBER_SILENCE_S
+
+    def _refute(self, record: Member, now: float) -> None:
+        own = self.own
+        if record.incarnation != own.incarnation or record.revision < own.revision:
+            return
+        if record.state != own.state:
+            self._store(replace(own, revision=record.revision + 1), now)
+
+    def _store(self, member: Member, now: float) -> None:
+        self.sequence += 1
+        self._entry_by_id[member.id] = Entry(member, self.sequence, now)
+
+
+def _version(member: Member) -> tuple[int, int]:
+    return member.incarnation, member.revision
+
+
+def _seniority(member: Member) -> tuple[int, str]:
+    return member.incarnation, member.id
+
+
+def _relay_order(member: Member) -> tuple[bool, int, str]:
+    return member.state == MemberState.LEAVING, member.incarnation, member.id
--- /dev/null
+++ b/papayalever/cluster/messages.py
@@ -0,0 +1,259 @@
+"""Typed messages between instances.
+
+Every message is a flat data class of CBOR values; `codec` maps each class to a CBOR tag.
+Times are wall-clock milliseconds since the Unix epoch unless a name says otherwise.
+"""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+
+class MemberState(StrEnum):
+    """Life of an instance as others see it."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+    DEAD = "dead"
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One instance; a greater (incarnation, revision) supersedes a smaller one."""
+
+    id: str
+    incarnation: int
+    revision: int
+    region: str
+    failure_domain: str
+    caller_address: str
+    peer_address: str
+    operator_address: str
+    state: str = MemberState.LIVE
+
+    @property
+    def replica(self) -> str:
+        """Identity of this run of the instance; a restart has lost all state."""
+        return f"{self.id}#{self.incarnation}"
+
+
+@dataclass(frozen=True, slots=True)
+class ObjectUpdate:
+    """A version of a shared object; ``value`` is its JSON text."""
+
+    name: str
+    version: int
+    value: str
+
+
+@dataclass(frozen=True, slots=True)
+class Sync:
+    """Heartbeat: the sender's record and what changed since the receiver last heard."""
+
+    sender: Member
+    known_sequence: int
+    """Sequence of the receiver's table up to which the sender has merged."""
+    records: list[Member]
+    versions: dict[str, int]
+    """Version of each shared object that the sender holds."""
+
+
+@dataclass(frozen=True, slots=True)
+class SyncReply:
+    """Answer to `Sync`: changes in the receiver's table and newer shared objects."""
+
+    incarnation: int
+    sequence: int
+    records: list[Member]
+    updates: list[ObjectUpdate]
+    silent_domains: list[str]
+    """Failure domains that the receiver has not heard from; empty unless it is a relay."""
+
+
+@dataclass(frozen=True, slots=True)
+class Broadcast:
+    """A message for every instance, forwarded once by each relay."""
+
+    id: str
+    message: object
+
+
+@dataclass(frozen=True, slots=True)
+class FetchBody:
+    """Ask for the text of a configuration by its digest."""
+
+    digest: str
+
+
+@dataclass(frozen=True, slots=True)
+class Body:
+    """Compressed text of a configuration; empty when it is not held."""
+
+    digest: str
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Prepare:
+    """Hold a configuration so that it can be put in force without a fetch."""
+
+    base_version: int
+    digest: str
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Prepared:
+    """Whether an instance holds the configuration; ``problem`` is empty if it does."""
+
+    replica: str
+    problem: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class PrepareDomain:
+    """Ask a relay to prepare every live instance of its failure domain."""
+
+    prepare: Prepare
+
+
+@dataclass(frozen=True, slots=True)
+class PreparedDomain:
+    """Replicas that hold the configuration and problems by replica of those that do not."""
+
+    prepared: list[str]
+    problems: dict[str, str]
+
+
+@dataclass(frozen=True, slots=True)
+class QueryStatus:
+    """Ask an instance what it has in force."""
+
+
+@dataclass(frozen=True, slots=True)
+class StatusReply:
+    """What an instance has in force and its counters by name."""
+
+    replica: str
+    config_version: int
+    config_digest: str
+    is_relay: bool
+    counters: dict[str, float] = field(default_factory=dict)
+
+
+class ClaimVerdict(StrEnum):
+    """Answer of a ledger primary to a claim."""
+
+    GRANTED = "granted"
+    REPLAY = "replay"
+    ALREADY_RUN = "already-run"
+    IN_PROGRESS = "in-progress"
+    UNKNOWN = "outcome-unknown"
+    BODY_MISMATCH = "key-reused"
+    EXPIRED = "key-expired"
+    FROM_FUTURE = "key-from-future"
+    HISTORY_LOST = "history-lost"
+    STALE_VIEW = "stale-view"
+    NO_BACKUP = "no-backup"
+    FULL = "ledger-full"
+
+
+@dataclass(frozen=True, slots=True)
+class StoredAnswer:
+    """Answer of a completed request, kept for resends."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """Ask the primary of ``slot`` for the only right to run a key."""
+
+    region: str
+    slot: int
+    epoch: int
+    key: str
+    attempt: str
+    digest: str
+    minted_ms: int
+    """Time in the key, or -1 for a key without one."""
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimReply:
+    """Verdict on a claim; ``answer`` only with `ClaimVerdict.REPLAY`."""
+
+    attempt: str
+    verdict: str
+    epoch: int
+    answer: StoredAnswer | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Settle:
+    """End of an attempt: ``state`` is a `RecordState`."""
+
+    region: str
+    slot: int
+    key: str
+    attempt: str
+    state: str
+    answer: StoredAnswer | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    """What the ledger keeps of one key."""
+
+    key: str
+    attempt: str
+    digest: str
+    claimed_ms: int
+    state: str
+    answer: StoredAnswer | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Replicate:
+    """Primary to backup: records of a slot at an epoch, with the start of its history."""
+
+    region: str
+    slot: int
+    epoch: int
+    history_since_ms: int
+    records: list[Record]
+    resync: bool = False
+    """The first part of a complete copy."""
+    complete: bool = False
+    """The last part of a complete copy."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicateReply:
+    """Whether the backup stored the records; refused when it knows a later epoch."""
+
+    accepted: bool
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class BackendNotice:
+    """A backend server said that it is leaving."""
+
+    backend: str
+    until_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class CrashNotice:
+    """A request after whose dispatch a backend server died."""
+
+    digest: str
+    backend: str
+    at_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Done:
+    """Empty acknowledgement."""
--- /dev/null
+++ b/papayalever/config/__init__.py
@@ -0,0 +1,1 @@
+"""Aggregate of the operators' configuration."""
--- /dev/null
+++ b/papayalever/config/models.py
@@ -0,0 +1,157 @@
+"""The declarative configuration: data classes that pydantic validates at the border."""
+
+from dataclasses import dataclass, field
+from datetime import datetime
+from enum import StrEnum
+from ipaddress import IPv4Network
+from typing import Annotated
+
+from pydantic import ConfigDict, Field, TypeAdapter
+
+Name = Annotated[str, Field(pattern=r"^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$")]
+Address = Annotated[str, Field(pattern=r"^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$")]
+PositiveInt = Annotated[int, Field(gt=0)]
+Seconds = Annotated[float, Field(gt=0, le=86_400)]
+Share = Annotated[float, Field(ge=0, le=1)]
+
+STRICT = ConfigDict(extra="forbid")
+
+
+class StopKind(StrEnum):
+    """What a planned stop takes out of service."""
+
+    INSTANCE = "instance"
+    BACKEND = "backend"
+    REGION = "region"
+
+
+@dataclass(frozen=True, slots=True)
+class Region:
+    """A region and its failure domains."""
+
+    __pydantic_config__ = STRICT
+    failure_domains: Annotated[tuple[Name, ...], Field(min_length=1)]
+
+
+@dataclass(frozen=True, slots=True)
+class Link:
+    """Connection between two regions; capacity is per direction."""
+
+    __pydantic_config__ = STRICT
+    between: Annotated[tuple[Name, ...], Field(min_length=2, max_length=2)]
+    latency_ms: Annotated[float, Field(ge=0)]
+    capacity_mbit_s: PositiveInt
+
+
+@dataclass(frozen=True, slots=True)
+class Rank:
+    """Priority class of requests; ``order`` 0 is the most urgent."""
+
+    __pydantic_config__ = STRICT
+    order: Annotated[int, Field(ge=0, le=9)]
+    deadline_s: Seconds
+    floor: Share = 0.0
+    """Share of the capacity that more urgent requests can not take."""
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Requests of one kind: the first route that matches applies."""
+
+    __pydantic_config__ = STRICT
+    rank: Name
+    path: Annotated[str, Field(pattern=r"^/")] = "/"
+    methods: tuple[str, ...] = ()
+    idempotent: bool = False
+    deadline_s: Seconds | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Backend:
+    """A backend server: ``slots`` requests at once over at most ``connections``."""
+
+    __pydantic_config__ = STRICT
+    id: Name
+    address: Address
+    failure_domain: Name
+    slots: PositiveInt
+    connections: PositiveInt
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """A service: host names, routes and backend servers."""
+
+    __pydantic_config__ = STRICT
+    hosts: Annotated[tuple[str, ...], Field(min_length=1)]
+    routes: Annotated[tuple[Route, ...], Field(min_length=1)]
+    backends: Annotated[tuple[Backend, ...], Field(min_length=1)]
+    max_body_bytes: PositiveInt = 64 * 1024 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class ShiftCap:
+    """Largest share of a service's traffic that one plan may move, and how often."""
+
+    __pydantic_config__ = STRICT
+    share_per_step: Annotated[float, Field(gt=0, le=1)] = 0.1
+    step_s: Seconds = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class PlannedStop:
+    """A graceful shutdown announced in advance."""
+
+    __pydantic_config__ = STRICT
+    kind: StopKind
+    id: Name
+    at: datetime
+
+
+@dataclass(frozen=True, slots=True)
+class CallerBlock:
+    """Addresses of callers and the region that serves them first."""
+
+    __pydantic_config__ = STRICT
+    cidr: IPv4Network
+    home: Name
+
+
+@dataclass(frozen=True, slots=True)
+class Lookup:
+    """Answers to look-ups: lifetime and number of instances named."""
+
+    __pydantic_config__ = STRICT
+    ttl_s: Seconds = 5.0
+    answers: PositiveInt = 4
+
+
+@dataclass(frozen=True, slots=True)
+class LedgerOptions:
+    """At-most-once ledger: how long keys count and how it is divided."""
+
+    __pydantic_config__ = STRICT
+    window_s: Annotated[float, Field(gt=0)] = 86_400.0
+    clock_skew_s: Annotated[float, Field(ge=0, le=600)] = 10.0
+    ranges_per_region: Annotated[int, Field(ge=1, le=1024)] = 16
+    max_records: PositiveInt = 200_000
+    """Records that one instance holds at most, as primary and backup."""
+
+
+@dataclass(frozen=True, slots=True)
+class Configuration:
+    """One declarative file, applied as a whole."""
+
+    __pydantic_config__ = STRICT
+    regions: Annotated[dict[Name, Region], Field(min_length=1)]
+    ranks: Annotated[dict[Name, Rank], Field(min_length=1)]
+    services: Annotated[dict[Name, Service], Field(min_length=1)]
+    links: tuple[Link, ...] = ()
+    shift_cap: ShiftCap = field(default_factory=ShiftCap)
+    planned_stops: tuple[PlannedStop, ...] = ()
+    caller_blocks: tuple[CallerBlock, ...] = ()
+    lookup: Lookup = field(default_factory=Lookup)
+    ledger: LedgerOptions = field(default_factory=LedgerOptions)
+
+
+CONFIGURATION = TypeAdapter(Configuration)
--- /dev/null
+++ b/papayalever/core.py
@@ -0,0 +1,26 @@
+"""Entry point of the program."""
+
+from collections.abc import Sequence
+
+import click
+
+from .cli.definition import build_app
+from .cli.exceptions import CommandError
+from .context import Environment
+from .status import ExitStatus
+
+
+def main(args: Sequence[str], env: Environment | None = None) -> ExitStatus:
+    """Run one command and return its exit status."""
+    env = env or Environment()
+    try:
+        result = build_app(env)(list(args), standalone_mode=False, prog_name="papayalever")
+    except CommandError as error:
+        env.print_error(str(error))
+        return error.exit_status
+    except click.UsageError as error:
+        env.print_error(f"{error.format_message()} See papayalever --help.")
+        return ExitStatus.USAGE
+    except (KeyboardInterrupt, click.Abort):
+        return ExitStatus.INTERRUPTED
+    return result if isinstance(result, ExitStatus) else ExitStatus.SUCCESS
--- /dev/null
+++ b/papayalever/hashing.py
@@ -0,0 +1,10 @@
+"""Hashes that every instance computes alike."""
+
+import xxhash
+
+HASH_RANGE = 1 << 64
+
+
+def hash_text(text: str) -> int:
+    """64-bit hash of a text, in ``range(HASH_RANGE)``."""
+    return xxhash.xxh3_64_intdigest(text.encode())
--- /dev/null
+++ b/papayalever/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once ledger for non-idempotent requests."""
--- /dev/null
+++ b/papayalever/ledger/exceptions.py
@@ -0,0 +1,9 @@
+"""Errors of the ledger."""
+
+
+class LedgerError(Exception):
+    """Base of the ledger's errors."""
+
+
+class LedgerUnavailableError(LedgerError):
+    """No primary with a backup answered in time; the attempt was not granted."""
--- /dev/null
+++ b/papayalever/lookup/__init__.py
@@ -0,0 +1,1 @@
+"""Look-ups: which instances a caller should use."""
--- /dev/null
+++ b/papayalever/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards callers, operators and backend servers."""
--- /dev/null
+++ b/papayalever/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on one request: admission, backend server, retries."""
--- /dev/null
+++ b/papayalever/routing/backends.py
@@ -0,0 +1,152 @@
+"""State of the backend servers as one instance sees it, and the choice among them."""
+
+from collections.abc import Collection, Iterable, Sequence
+from dataclasses import dataclass
+from random import Random
+
+from ..config.models import Backend
+from ..hashing import HASH_RANGE, hash_text
+
+EJECT_S = 2.0
+MAX_EJECT_S = 30.0
+SHED_PAUSE_S = 0.05
+LOAD_LIFE_S = 0.5
+COLD_S = 5.0
+COLD_PENALTY = 0.5
+CONNECTION_SHARE = 0.8
+
+
+@dataclass(slots=True)
+class BackendState:
+    """What an instance knows of one backend server; times are monotonic seconds."""
+
+    backend: Backend
+    in_flight: int = 0
+    reported_load: float = 0.0
+    """Share of the slots in use, as the server said last."""
+    reported_at: float = float("-inf")
+    failures: int = 0
+    ejected_until: float = float("-inf")
+    paused_until: float = float("-inf")
+    leaving_until: float = float("-inf")
+    first_answer_at: float | None = None
+
+
+class BackendTable:
+    """Backend servers of every service by id."""
+
+    def __init__(self) -> None:
+        self._state_by_id: dict[str, BackendState] = {}
+
+    def set_backends(self, backends: Iterable[Backend]) -> None:
+        """Use another set; the state of those that stay is kept."""
+        previous = self._state_by_id
+        self._state_by_id = {}
+        for backend in backends:
+            state = previous.get(backend.id)
+            if state is None or state.backend.address != backend.address:
+                state = BackendState(backend)
+            state.backend = backend
+            self._state_by_id[backend.id] = state
+
+    def get(self, backend_id: str) -> BackendState | None:
+        """State of one backend server."""
+        return self._state_by_id.get(backend_id)
+
+    @property
+    def states(self) -> list[BackendState]:
+        """State of every backend server."""
+        return list(self._state_by_id.values())
+
+    def choose(
+        self, candidates: Sequence[Backend], avoid: Collection[str], now: float, rng: Random
+    ) -> BackendState | None:
+        """The less loaded of two random servers that accept work (Mitzenmacher 2001)."""
+        usable = [
+            state
+            for state in map(self._find, candidates)
+            if state and state.backend.id not in avoid and is_usable(state, now)
+        ]
+        if not usable:
+            return None
+        pair = rng.sample(usable, min(2, len(usable)))
+        return min(pair, key=lambda state: estimate_load(state, now))
+
+    def note_start(self, state: BackendState) -> None:
+        """Count a dispatch."""
+        state.in_flight += 1
+
+    def note_answer(self, state: BackendState, load: float | None, now: float) -> None:
+        """Count an answer and the load that came with it."""
+        state.in_flight -= 1
+        state.failures = 0
+        if state.first_answer_at is None:
+            state.first_answer_at = now
+        if load is not None:
+            state.reported_load = load
+            state.reported_at = now
+
+    def note_shed(self, state: BackendState, now: float) -> None:
+        """Count a refusal: no new work for a moment."""
+        state.in_flight -= 1
+        state.paused_until = now + SHED_PAUSE_S
+
+    def note_failure(self, state: BackendState, now: float) -> None:
+        """Count a lost connection or a timeout: no new work for a growing time."""
+        state.in_flight -= 1
+        state.failures += 1
+        eject_s = min(MAX_EJECT_S, EJECT_S * 2 ** (state.failures - 1))
+        state.ejected_until = now + eject_s
+        state.first_answer_at = None
+
+    def note_leaving(self, backend_id: str, until: float) -> bool:
+        """Stop new work for a server that leaves; returns whether this is news."""
+        state = self._state_by_id.get(backend_id)
+        if state is None or state.leaving_until >= until:
+            return False
+        state.leaving_until = until
+        return True
+
+    def _find(self, backend: Backend) -> BackendState | None:
+        return self._state_by_id.get(backend.id)
+
+
+def is_usable(state: BackendState, now: float) -> bool:
+    """Whether a server may get new work."""
+    return now >= max(state.ejected_until, state.paused_until, state.leaving_until)
+
+
+def estimate_load(state: BackendState, now: float) -> float:
+    """Share of the slots in use: own requests and, while it is fresh, the server's word."""
+    slots = state.backend.slots
+    own = state.in_flight / slots
+    is_fresh = now - state.reported_at < LOAD_LIFE_S
+    load = max(own, state.reported_load) if is_fresh else own
+    is_cold = state.first_answer_at is None or now - state.first_answer_at < COLD_S
+    return load + (COLD_PENALTY if is_cold else 0.0)
+
+
+def choose_subset(
+    backends: Sequence[Backend], instance: str, instances: int
+) -> tuple[Backend, ...]:
+    """Backend servers that one instance connects to, so that no server runs out of connections.
+
+    With ``instances`` under a server's share of connections every server is used; beyond it each
+    instance keeps its part by rendezvous hashing.
+    """
+
+    def may_connect(backend: Backend) -> bool:
+        allowed = backend.connections * CONNECTION_SHARE
+        if instances <= allowed:
+            return True
+        score = hash_text(f"{instance}/{backend.id}") / HASH_RANGE
+        return score < allowed / instances
+
+    return tuple(backend for backend in backends if may_connect(backend))
+
+
+def connection_limit(backend: Backend, instances: int) -> int:
+    """Connections that one instance may hold to a server."""
+    return max(
+        1, min(backend.slots * 2, int(backend.connections * CONNECTION_SHARE / max(1, instances)))
+    )
--- /dev/null
+++ b/papayalever/steering/__init__.py
@@ -0,0 +1,1 @@
+"""Plans that move traffic between regions."""
