--- a/tests/support/cluster.py
+++ b/tests/support/cluster.py
@@ -14,6 +14,9 @@
 import aiohttp
 import yaml
 
+from papayalever.ledger.keys import Placement, parse_key, place_key
+from papayalever.ledger.views import REGION_VIEWS, View, object_name
+
 READY_S = 30.0
 POLL_S = 0.05
 
@@ -227,6 +230,28 @@
     async def status(self, instance_id: str) -> dict | None:
         return await self.get(self.by_id[instance_id].operator, "/-/status")
 
+    def place(self, key: str) -> Placement:
+        """Where the ledger keeps a key."""
+        regions = list(self.shape.regions)
+        slots = self.configuration()["ledger"]["ranges_per_region"]
+        return place_key(parse_key(key, regions), self.shape.service, regions, slots)
+
+    async def view(self, key: str) -> View:
+        """Newest view of the slot that keeps a key, read from the store."""
+        place = self.place(key)
+        path = f"/objects/shared/{object_name(place.region)}"
+        text = await self.get_text(f"127.0.0.1:{self.store_port}", path)
+        return REGION_VIEWS.validate_json(text).views[place.slot]
+
+    async def wait_new_view(self, key: str, old: View) -> View:
+        """Wait until a key's slot has another primary than ``old`` and can grant claims."""
+
+        async def is_new() -> bool:
+            return (await self.view(key)).primary != old.primary
+
+        await self.wait_for(is_new)
+        return await self.view(key)
+
     async def set_faults(self, **faults) -> None:
         url = f"http://127.0.0.1:{self.store_port}/faults"
         async with self.session.post(url, json=faults):
