Create the ledger's first views only under a configuration

Cause: the failure test for the loss of both replicas killed instances that did not hold the key. A trace of claims showed slot 4 where the test computed slot 0: the coordinator had written 16 slots, the default, before the first configuration (4 slots) was in force, and the first views fix the number for good. Ruled out: a wrong replay (the backend servers counted one run), a promoted backup without its copy, a race of two coordinators (the object had one writer).

Change: no views before a configuration is in force; the tests' view check refuses another number.

--- a/papayalever/ledger/service.py
+++ b/papayalever/ledger/service.py
@@ -61,6 +61,7 @@
         self._store = store
         self._now_ms = now_ms
         self._options = LedgerOptions()
+        self._is_configured = False
         self._views_by_region: dict[str, RegionViews] = {}
         self._slot_by_key: dict[SlotKey, Slot] = {}
         self._lock_by_key: dict[SlotKey, asyncio.Lock] = {}
@@ -91,6 +92,7 @@
     def set_options(self, options: LedgerOptions) -> None:
         """Use other options from now on."""
         self._options = options
+        self._is_configured = True
 
     def slot_count(self, region: str) -> int:
         """Slots of a region's ledger, fixed by its first view."""
@@ -263,7 +265,8 @@
         """Keep the views of the own region in step with its membership until cancelled."""
         while True:
             await asyncio.sleep(VIEW_INTERVAL_S)
-            if self._is_coordinator():
+            # The number of slots is fixed by the first views: it has to be the configured one.
+            if self._is_configured and self._is_coordinator():
                 with suppress(StoreError):
                     await self._update_views()
 
--- a/tests/support/cluster.py
+++ b/tests/support/cluster.py
@@ -241,7 +241,10 @@
         place = self.place(key)
         path = f"/objects/shared/{object_name(place.region)}"
         text = await self.get_text(f"127.0.0.1:{self.store_port}", path)
-        return REGION_VIEWS.validate_json(text).views[place.slot]
+        views = REGION_VIEWS.validate_json(text).views
+        if len(views) != self.configuration()["ledger"]["ranges_per_region"]:
+            raise AssertionError(f"the ledger has {len(views)} slots, not the configured ones")
+        return views[place.slot]
 
     async def wait_new_view(self, key: str, old: View) -> View:
         """Wait until a key's slot has another primary than ``old`` and can grant claims."""
