--- a/papayalever/cli/definition.py
+++ b/papayalever/cli/definition.py
@@ -63,7 +63,12 @@
             raise CommandError(f"{settings}: {error}", ExitStatus.INVALID) from error
         handler = logbook.StderrHandler(format_string=LOG_FORMAT, level=logbook.INFO)
         with handler.applicationbound():
-            asyncio.run(_serve(loaded))
+            try:
+                asyncio.run(_serve(loaded))
+            except OSError as error:
+                raise CommandError(
+                    f"{loaded.id} can not listen: {error}.", ExitStatus.ERROR
+                ) from error
         return ExitStatus.SUCCESS
 
 
--- a/papayalever/cluster/gossip.py
+++ b/papayalever/cluster/gossip.py
@@ -14,7 +14,7 @@
 import logbook
 from reactivex.subject import Subject
 
-from ..store import StoreClient, StoreError, StoreThrottledError
+from ..store import ListedInstance, StoreClient, StoreError, StoreThrottledError
 from .exceptions import PeerUnreachableError
 from .links import LinkPool
 from .membership import SYNC_INTERVAL_S, MembershipTable
@@ -27,6 +27,8 @@
 SHARED_PREFIX = "shared/"
 WATCH_RETRY_S = 1.0
 REMEMBERED_BROADCASTS = 10_000
+SEED_CHANCE = 0.2
+"""Chance in each round to call a seed that is not among the members."""
 
 log = logbook.Logger("cluster")
 
@@ -113,11 +115,7 @@
         """Call every instance that this one exchanges heartbeats with."""
         now = self._clock()
         if self.table.is_relay(now):
-            dead = self.table.sweep(now)
-            for member in dead:
-                log.info("instance {} is dead", member.id)
-            if dead:
-                self.member_changes.on_next(dead)
+            self._report_dead(self.table.sweep(now))
         self.table.forget_dead(now)
         targets = self._targets(now)
         calls = [self._sync_with(address, member_id) for address, member_id in targets.items()]
@@ -172,6 +170,20 @@
         """Tell every instance that this one exists."""
         self.broadcast(self.table.own)
 
+    async def note_listed(self, listed: list[ListedInstance]) -> None:
+        """Take over the platform's list: who is gone, and whom nobody here has met."""
+        ids = frozenset(item.id for item in listed)
+        self._report_dead(self.table.note_listed(ids, self._clock()))
+        strangers = [item for item in listed if item.peer_address and not self.table.get(item.id)]
+        for item in random.sample(strangers, min(1, len(strangers))):
+            await self._sync_with(item.peer_address, "")
+
+    def _report_dead(self, dead: list[Member]) -> None:
+        for member in dead:
+            log.info("instance {} is dead", member.id)
+        if dead:
+            self.member_changes.on_next(dead)
+
     def _targets(self, now: float) -> dict[str, str]:
         """Peer address and id of the instances to call, seeds without an id."""
         table = self.table
@@ -181,10 +193,18 @@
             for member in table.relays(domain, now)
             if member.id != table.own_id
         }
-        if not self.has_heard_peer or not targets:
-            own_address = table.own.peer_address
-            targets |= {seed: targets.get(seed, "") for seed in self._seeds if seed != own_address}
-        return targets
+        seeds = self._unknown_seeds()
+        if self.has_heard_peer and targets:
+            # Groups that started apart find each other through the seeds.
+            seeds = seeds[:1] if random.random() < SEED_CHANCE else []
+        return targets | dict.fromkeys(seeds, "")
+
+    def _unknown_seeds(self) -> list[str]:
+        known = {
+            member.peer_address for member in self.table.members if member.state != MemberState.DEAD
+        }
+        unknown = [seed for seed in self._seeds if seed not in known]
+        return random.sample(unknown, len(unknown))
 
     def _called_domains(self, now: float) -> set[str]:
         if self.table.is_relay(now):
--- a/papayalever/cluster/membership.py
+++ b/papayalever/cluster/membership.py
@@ -11,6 +11,8 @@
 DOMAIN_SILENCE_S = 4.5
 SUSPECT_S = 5.0
 FORGET_DEAD_S = 3_600.0
+UNLISTED_READS = 3
+SWEEP_GAP_S = 2.5
 
 
 @dataclass(slots=True)
@@ -32,6 +34,9 @@
         self._heard_at_by_id: dict[str, float] = {}
         self._suspect_until_by_id: dict[str, float] = {}
         self._heard_at_by_domain: dict[str, float] = {}
+        self._swept_at = float("-inf")
+        self._listens_since = 0.0
+        self._unlisted_reads: dict[str, int] = {}
         self.silent_domains: frozenset[str] = frozenset()
         self._store(own, now=0.0)
 
@@ -137,16 +142,40 @@
 
     def sweep(self, now: float) -> list[Member]:
         """As a relay: declare silent members of the own domain dead and judge the domains."""
+        if now - self._swept_at > SWEEP_GAP_S:
+            # A new relay, or one that was paused, has not listened until now.
+            self._listens_since = now
+        self._swept_at = now
         dead = [item for item in self.members if self._is_silent(item, now)]
         for member in dead:
-            self._store(replace(member, state=MemberState.DEAD, revision=member.revision + 1), now)
+            self._declare_dead(member, now)
         self.silent_domains = frozenset(
             domain
             for domain in self.domains() - {self.own.failure_domain}
-            if now - self._heard_at_by_domain.setdefault(domain, now) > DOMAIN_SILENCE_S
+            if now - self._domain_heard_at(domain) > DOMAIN_SILENCE_S
         )
         return dead
 
+    def note_listed(self, listed: frozenset[str], now: float) -> list[Member]:
+        """As a relay: declare silent members dead that the platform has stopped listing.
+
+        The list lags, so a member counts as gone after `UNLISTED_READS` reads without it. An
+        empty list says nothing.
+        """
+        gone = []
+        for member in self.members:
+            is_silent = member.failure_domain in self.silent_domains
+            if not listed or member.id in listed or not is_silent:
+                self._unlisted_reads.pop(member.id, None)
+                continue
+            reads = self._unlisted_reads.get(member.id, 0) + 1
+            self._unlisted_reads[member.id] = reads
+            if reads >= UNLISTED_READS and member.state != MemberState.DEAD:
+                gone.append(member)
+        for member in gone:
+            self._declare_dead(member, now)
+        return gone
+
     def forget_dead(self, now: float) -> None:
         """Drop records of members that died long ago."""
         for member_id, entry in list(self._entry_by_id.items()):
@@ -154,12 +183,19 @@
             if is_dead and now - entry.changed_at > FORGET_DEAD_S:
                 del self._entry_by_id[member_id]
 
+    def _domain_heard_at(self, domain: str) -> float:
+        return max(self._heard_at_by_domain.get(domain, 0.0), self._listens_since)
+
     def _is_silent(self, member: Member, now: float) -> bool:
         if member.id == self.own_id or member.state == MemberState.DEAD:
             return False
         if member.failure_domain != self.own.failure_domain:
             return False
-        return now - self._heard_at_by_id.setdefault(member.id, now) > MEMBER_SILENCE_S
+        heard_at = max(self._heard_at_by_id.get(member.id, 0.0), self._listens_since)
+        return now - heard_at > MEMBER_SILENCE_S
+
+    def _declare_dead(self, member: Member, now: float) -> None:
+        self._store(replace(member, state=MemberState.DEAD, revision=member.revision + 1), now)
 
     def _refute(self, record: Member, now: float) -> None:
         own = self.own
--- a/papayalever/daemon.py
+++ b/papayalever/daemon.py
@@ -272,6 +272,7 @@
                 listed = await self._store.list_instances()
             except StoreError:
                 continue
+            await self.gossip.note_listed(listed)
             until = time.monotonic() + 5 * LIST_INTERVAL_S
             until_ms = _wall_ms() + int(5 * LIST_INTERVAL_S * 1000)
             for item in listed:
--- a/papayalever/ledger/service.py
+++ b/papayalever/ledger/service.py
@@ -15,7 +15,6 @@
     Claim,
     ClaimReply,
     ClaimVerdict,
-    Done,
     Member,
     MemberState,
     ObjectUpdate,
@@ -33,7 +32,10 @@
 REPLICATE_TIMEOUT_S = 1.0
 CLAIM_TIMEOUT_S = 2.5
 CLAIM_RETRY_S = 0.1
-SETTLE_TRIES = 5
+SETTLE_TIMEOUT_S = 2.5
+SETTLE_RETRY_S = 1.0
+SETTLE_TRIES = 60
+"""Longer than a takeover: an answer that is known must not be reported as unknown."""
 VIEW_INTERVAL_S = 0.5
 VIEW_SETTLE_S = 5.0
 EXPIRE_INTERVAL_S = 30.0
@@ -153,16 +155,21 @@
 
     async def _settle(self, message: Settle) -> None:
         for _ in range(SETTLE_TRIES):
-            view = self._view(message.region, message.slot)
-            member = self._find(view.primary) if view else None
             with suppress(PeerUnreachableError):
-                if member and member.id == self._gossip.table.own_id:
-                    await self.handle_settle(message)
+                if await self._try_settle(message):
                     return
-                if member:
-                    await self._pool.request(member.peer_address, message, REPLICATE_TIMEOUT_S)
-                    return
-            await asyncio.sleep(1.0)
+            await asyncio.sleep(SETTLE_RETRY_S)
+
+    async def _try_settle(self, message: Settle) -> bool:
+        view = self._view(message.region, message.slot)
+        member = self._find(view.primary) if view else None
+        if member is None:
+            return False
+        if member.id == self._gossip.table.own_id:
+            reply = await self.handle_settle(message)
+        else:
+            reply = await self._pool.request(member.peer_address, message, SETTLE_TIMEOUT_S)
+        return reply.accepted
 
     # Primary's side.
 
@@ -182,14 +189,17 @@
             verdict = await self._grant(claim, slot, view, decision.record)
         return ClaimReply(claim.attempt, verdict, slot.epoch, decision.answer)
 
-    async def handle_settle(self, message: Settle) -> Done:
-        """End an attempt and tell the backup."""
+    async def handle_settle(self, message: Settle) -> ReplicateReply:
+        """End an attempt and tell the backup; not accepted means to send it again."""
         slot = self._slot(message.region, message.slot)
-        record = slot.settle(message)
         view = self._view(message.region, message.slot)
-        if record and view and slot.role == Role.PRIMARY:
-            await self._replicate(message.region, message.slot, slot, view, [record])
-        return Done()
+        if view is None or slot.role != Role.PRIMARY:
+            return ReplicateReply(False, slot.epoch)
+        record = slot.settle(message)
+        if record is None:
+            return ReplicateReply(True, slot.epoch)
+        stored = await self._replicate(message.region, message.slot, slot, view, [record])
+        return ReplicateReply(stored, slot.epoch)
 
     async def _grant(self, claim: Claim, slot: Slot, view: View, record: Record) -> ClaimVerdict:
         slot.put(record)
--- a/papayalever/ledger/slots.py
+++ b/papayalever/ledger/slots.py
@@ -96,12 +96,16 @@
         self.records_by_key.move_to_end(record.key)
 
     def settle(self, message: Settle) -> Record | None:
-        """End the attempt that holds the key; None if another attempt holds it."""
+        """End the attempt that holds the key and return its record.
+
+        None if another attempt holds the key. A repeated message returns the same record, which
+        may not have reached the backup.
+        """
         record = self.records_by_key.get(message.key)
         if record is None or record.attempt != message.attempt:
             return None
         if record.state != RecordState.RUNNING:
-            return None
+            return record
         settled = replace(record, state=message.state, answer=message.answer)
         self.records_by_key[message.key] = settled
         return settled
--- a/papayalever/store.py
+++ b/papayalever/store.py
@@ -67,10 +67,17 @@
 
     async def get(self, key: str) -> StoredObject | None:
         """Read an object; raises `StoreUnavailableError`."""
-        status, headers, body = await self._read("get", f"/objects/{key}")
-        if status == 404:
-            return None
-        return StoredObject(key, int(headers["ETag"]), body)
+        self._count("get")
+        session = self._open_session()
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        try:
+            async with session.get(f"{self._url}/objects/{key}", timeout=timeout) as response:
+                if response.status == 404:
+                    return None
+                _check(response)
+                return StoredObject(key, int(response.headers["ETag"]), await response.read())
+        except (aiohttp.ClientError, TimeoutError, OSError, KeyError, ValueError) as error:
+            raise StoreUnavailableError("The store did not answer as expected.") from error
 
     async def put(self, key: str, value: bytes, expected_version: int) -> int:
         """Write if the version is the expected one (0: absent) and return the new version.
@@ -129,17 +136,6 @@
         if self._session:
             await self._session.close()
 
-    async def _read(self, kind: str, path: str) -> tuple[int, dict[str, str], bytes]:
-        self._count(kind)
-        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
-        try:
-            async with self._open_session().get(self._url + path, timeout=timeout) as response:
-                if response.status != 404:
-                    _check(response)
-                return response.status, dict(response.headers), await response.read()
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            raise StoreUnavailableError("The store did not answer.") from error
-
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
             self._session = aiohttp.ClientSession()
--- a/tests/support/cluster.py
+++ b/tests/support/cluster.py
@@ -1,6 +1,7 @@
 """A small cluster of real processes on loopback: store, backend servers and instances."""
 
 import asyncio
+import itertools
 import os
 import signal
 import socket
@@ -18,6 +19,9 @@
 from papayalever.ledger.views import REGION_VIEWS, View, object_name
 
 READY_S = 30.0
+FIRST_PORT = 23_000
+PORT_COUNT = 9_000
+_CANDIDATES = (FIRST_PORT + (os.getpid() * 97 + step) % PORT_COUNT for step in itertools.count())
 POLL_S = 0.05
 
 RANKS = {
@@ -35,13 +39,15 @@
 
 
 def free_ports(count: int) -> list[int]:
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind(("127.0.0.1", 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
+    """Ports below the range that the system gives to outgoing connections."""
+    found: list[int] = []
+    while len(found) < count:
+        port = next(_CANDIDATES)
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            if probe.connect_ex(("127.0.0.1", port)) != 0:
+                found.append(port)
+    return found
 
 
 @dataclass
@@ -107,6 +113,7 @@
         await self.wait_for(self.has_stand_ins)
         for instance in self.by_id.values():
             self.start(instance.id)
+        await self.list_running()
         await self.wait_members(len(self.by_id))
 
     async def has_stand_ins(self) -> bool:
@@ -146,6 +153,13 @@
         process.kill()
         process.wait()
 
+    async def list_running(self) -> None:
+        """Bring the platform's list of instances up to date."""
+        listed = [
+            {"id": item.id, "state": "live", "peer_address": item.peer} for item in self.running()
+        ]
+        await self.set_faults(instances=listed)
+
     async def wait_exit(self, instance_id: str) -> int:
         process = self.by_id[instance_id].process
         await self.wait_for(lambda: _value(process.poll() is not None))
