Know a replica's history by its unbroken membership of the views

Cause: test_frozen_primary_grants_nothing_after_it_thaws failed in 2 of 4 runs: a backup promoted before its first copy refused every older key (truthful, but needless: nothing can have been granted in the first epoch without it). Reading the rule for this showed a worse fault: a backup that was replaced, missed a view and came back as primary took its old copy for a whole history and granted a key a second time. Ruled out: the backup's refusal of old epochs (it was the new primary itself).

Change: a view says since which epoch each replica has been one without a gap; a primary with a gap drops its records and refuses older keys; a first backup knows that nothing was granted without it.

--- a/papayalever/ledger/slots.py
+++ b/papayalever/ledger/slots.py
@@ -6,7 +6,7 @@
 
 from ..cluster.messages import Claim, ClaimVerdict, Record, Replicate, Settle, StoredAnswer
 from .keys import NO_TIME
-from .views import View
+from .views import FIRST_EPOCH, View
 
 STALE_RUNNING_MS = 120_000
 
@@ -64,14 +64,18 @@
         if view.epoch <= self.epoch:
             return
         role = _role_in(view, replica)
-        has_history = self.role == Role.PRIMARY or (self.role == Role.BACKUP and self.is_synced)
+        # A replica that was replaced and came back has missed the grants in between.
+        is_continuous = self.epoch >= view.since(replica)
+        has_history = is_continuous and self._has_history()
         self.epoch = view.epoch
         self.role = role
         self.is_synced = False
         self.is_copying = False
-        if role == Role.PRIMARY and view.is_first:
+        if role == Role.PRIMARY and view.epoch == FIRST_EPOCH:
             self.history_since_ms = 0
         elif role == Role.PRIMARY and not has_history:
+            # A stale record of an attempt that was not run would allow another one.
+            self.records_by_key.clear()
             self.history_since_ms = now_ms + rules.skew_ms
         if role == Role.NONE:
             self.records_by_key.clear()
@@ -139,6 +143,13 @@
             expired += 1
         return expired
 
+    def _has_history(self) -> bool:
+        if self.role == Role.BACKUP and self.epoch == FIRST_EPOCH and not self.is_synced:
+            # Without this replica's copy nothing was granted in the first epoch.
+            self.history_since_ms = 0
+            return True
+        return self.role == Role.PRIMARY or (self.role == Role.BACKUP and self.is_synced)
+
     def _judge_age(self, claim: Claim, now_ms: int, rules: Rules) -> ClaimVerdict | None:
         """Refuse an unseen key that may have run before this replica's history."""
         oldest_ms = now_ms - rules.window_ms
--- a/papayalever/ledger/views.py
+++ b/papayalever/ledger/views.py
@@ -13,6 +13,9 @@
 from ..cluster.messages import Member, MemberState
 from ..hashing import hash_text
 
+FIRST_EPOCH = 1
+"""Nothing was ever claimed before it."""
+
 HANDOVER_SETTLE_MS = 3_000
 """How long a new backup has to receive its copy before a leaving primary hands over."""
 
@@ -25,8 +28,22 @@
     primary: str
     backup: str
     changed_ms: int
-    is_first: bool = False
-    """Nothing was ever claimed before this view."""
+    primary_since: int
+    """Epoch since which the primary has been a replica without a gap."""
+    backup_since: int
+
+    def since(self, replica: str) -> int:
+        """Epoch since which ``replica`` has been one of the two, the next one if it is not."""
+        if replica == self.primary:
+            return self.primary_since
+        if replica == self.backup:
+            return self.backup_since
+        return self.epoch + 1
+
+    def follow(self, primary: str, backup: str, now_ms: int) -> "View":
+        """The next view, with other replicas."""
+        since = (self.since(primary), self.since(backup))
+        return View(self.epoch + 1, primary, backup, now_ms, *since)
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,7 +106,7 @@
         load[primary.replica] += 1
         backup = _pick(live, primary, index, load)
         load[backup.replica] += 1
-        views.append(View(1, primary.replica, backup.replica, now_ms, is_first=True))
+        views.append(View(FIRST_EPOCH, primary.replica, backup.replica, now_ms, 1, 1))
     return tuple(views)
 
 
@@ -117,7 +134,7 @@
         backup = _pick(live, primary, index, load)
     if backup is None or (primary.replica, backup.replica) == (view.primary, view.backup):
         return view
-    return View(view.epoch + 1, primary.replica, backup.replica, now_ms)
+    return view.follow(primary.replica, backup.replica, now_ms)
 
 
 def _replace_both(
@@ -128,7 +145,7 @@
     backup = _pick(live, primary, index, load) if primary else None
     if backup is None:
         return view
-    return View(view.epoch + 1, primary.replica, backup.replica, now_ms)
+    return view.follow(primary.replica, backup.replica, now_ms)
 
 
 def _rebalance(
@@ -152,7 +169,7 @@
             continue
         if _has_other_domain(live, primary) and primary.failure_domain == lightest.failure_domain:
             continue
-        moved = View(view.epoch + 1, view.primary, lightest.replica, now_ms)
+        moved = view.follow(view.primary, lightest.replica, now_ms)
         return (*views[:index], moved, *views[index + 1 :])
     return None
 
