Prove that an accepted configuration is in force everywhere and never reverts

Cause: the apply had no proof under failure, and reading it showed one fault: with a store that came back older than what is in force, an apply would be accepted at a version that every instance ignores. Ruled out: instances stepping back (the head's version only grows on each).

Change: such an apply is refused. Usage errors of the command line are caught again: the installed Typer carries a private copy of its command line library.

--- a/papayalever/config/commit.py
+++ b/papayalever/config/commit.py
@@ -78,6 +78,12 @@
         load_configuration(request.text)
         head, store_version = await self._read_head()
         base = head.version if head else 0
+        if base < self._keeper.state.version:
+            raise NotAcceptedError(
+                f"The store answers with version {base}, older than version "
+                f"{self._keeper.state.version} in force here. Nothing changed; "
+                "apply again when the store has caught up."
+            )
         if request.expected_version is not None and request.expected_version != base:
             raise LostRaceError(_describe_winner(head))
         digest = digest_text(request.text)
--- a/papayalever/core.py
+++ b/papayalever/core.py
@@ -2,13 +2,16 @@
 
 from collections.abc import Sequence
 
-import click
+import typer
 
 from .cli.definition import build_app
 from .cli.exceptions import CommandError
 from .context import Environment
 from .status import ExitStatus
 
+# Typer's command line library is private to it; its usage error is a base of this public class.
+USAGE_ERROR = typer.BadParameter.__mro__[1]
+
 
 def main(args: Sequence[str], env: Environment | None = None) -> ExitStatus:
     """Run one command and return its exit status."""
@@ -18,9 +21,9 @@
     except CommandError as error:
         env.print_error(str(error))
         return error.exit_status
-    except click.UsageError as error:
+    except USAGE_ERROR as error:
         env.print_error(f"{error.format_message()} See papayalever --help.")
         return ExitStatus.USAGE
-    except (KeyboardInterrupt, click.Abort):
+    except (KeyboardInterrupt, typer.Abort):
         return ExitStatus.INTERRUPTED
     return result if isinstance(result, ExitStatus) else ExitStatus.SUCCESS
