Steer by plans whose shifts are capped by every instance that obeys them

Cause: callers always went home; a planned stop of a region took its instances out of look-ups at once, which is an uncapped shift, and a lost region's callers all went to the nearest one.

Ways weighed: a planner's lease with an epoch that instances check (an old planner's plan is fenced, but steps of two planners within one period still add up); a cap held by each instance's own clock over whatever plans arrive. The second one is taken; the conditional update of the plan object keeps the order of plans. Demand travels with the heartbeats, summed up per failure domain.

--- a/papayalever/cli/definition.py
+++ b/papayalever/cli/definition.py
@@ -158,7 +158,7 @@
             return ExitStatus.SUCCESS
         env.print(
             f"{document['id']}: {document['state']}, configuration {document['config_version']}, "
-            f"plan {document['plan_epoch']}, roles {', '.join(document['roles'])}"
+            f"plan {document['plan_version']}, roles {', '.join(document['roles'])}"
         )
         rows = [
             [
--- a/papayalever/cluster/codec.py
+++ b/papayalever/cluster/codec.py
@@ -33,6 +33,7 @@
     messages.BackendNotice,
     messages.CrashNotice,
     messages.Done,
+    messages.DomainDemand,
 )
 TYPE_BY_TAG = {FIRST_TAG + index: kind for index, kind in enumerate(MESSAGE_TYPES)}
 TAG_BY_TYPE = {kind: tag for tag, kind in TYPE_BY_TAG.items()}
--- a/papayalever/cluster/gossip.py
+++ b/papayalever/cluster/gossip.py
@@ -7,6 +7,7 @@
 import asyncio
 import itertools
 import random
+import time
 from collections import OrderedDict
 from collections.abc import Callable
 from typing import Any
@@ -17,8 +18,17 @@
 from ..store import ListedInstance, StoreClient, StoreError, StoreThrottledError
 from .exceptions import PeerUnreachableError
 from .links import LinkPool
-from .membership import SYNC_INTERVAL_S, MembershipTable
-from .messages import Broadcast, Done, Member, MemberState, ObjectUpdate, Sync, SyncReply
+from .membership import MEMBER_SILENCE_S, SYNC_INTERVAL_S, MembershipTable
+from .messages import (
+    Broadcast,
+    DomainDemand,
+    Done,
+    Member,
+    MemberState,
+    ObjectUpdate,
+    Sync,
+    SyncReply,
+)
 from .objects import ObjectCache
 
 CALL_TIMEOUT_S = 1.0
@@ -60,6 +70,10 @@
         self._merged_sequence: dict[str, tuple[int, int]] = {}
         self._told_sequence: dict[str, tuple[int, int]] = {}
         self._answered_at: dict[str, float] = {}
+        self._rows_by_member: dict[str, tuple[float, list]] = {}
+        self._demand_by_domain: dict[str, DomainDemand] = {}
+        self.read_demand: Callable[[], list] = list
+        """Own demand, as rows of `DomainDemand`."""
         self._pushes: set[asyncio.Task] = set()
 
     @property
@@ -130,7 +144,11 @@
         self._merge([sync.sender, *sync.records], now)
         self.table.note_heard(sync.sender, now)
         table = self.table
-        silent = sorted(table.silent_domains) if table.is_relay(now) else []
+        is_relay = table.is_relay(now)
+        silent = sorted(table.silent_domains) if is_relay else []
+        is_other_domain = sync.sender.failure_domain != table.own.failure_domain
+        if not is_other_domain:
+            self._rows_by_member[sync.sender.id] = (now, sync.demand)
         known = sync.known_sequence
         return SyncReply(
             incarnation=table.own.incarnation,
@@ -138,6 +156,7 @@
             records=table.changes_since(known),
             updates=self.objects.newer_than(sync.versions),
             silent_domains=silent,
+            demand=self._own_domain_demand(now) if is_relay and is_other_domain else None,
         )
 
     def handle_broadcast(self, broadcast: Broadcast) -> Done:
@@ -160,6 +179,32 @@
         if self.objects.offer(update):
             self.broadcast(update)
 
+    def all_relays(self) -> list[Member]:
+        """Relays of the failure domains that are heard, most senior first."""
+        now = self._clock()
+        table = self.table
+        heard = table.domains() - table.silent_domains
+        relays = [relay for domain in heard for relay in table.relays(domain, now)]
+        return sorted(relays, key=lambda item: (item.incarnation, item.id))
+
+    def demands(self) -> dict[str, DomainDemand]:
+        """As a relay: demand by failure domain."""
+        own = self._own_domain_demand(self._clock())
+        return {**self._demand_by_domain, own.failure_domain: own}
+
+    def _own_domain_demand(self, now: float) -> DomainDemand:
+        total: dict[tuple[str, str], list[float]] = {}
+        reports = [
+            rows for at, rows in self._rows_by_member.values() if now - at < MEMBER_SILENCE_S
+        ]
+        for rows in (*reports, self.read_demand()):
+            for service, home, slots, bytes_s in rows:
+                summed = total.setdefault((service, home), [0.0, 0.0])
+                summed[0] += slots
+                summed[1] += bytes_s
+        rows = [(*key, *values) for key, values in total.items()]
+        return DomainDemand(self.table.own.failure_domain, int(time.time() * 1000), rows)
+
     def announce(self, state: MemberState) -> None:
         """Tell every instance the new state of this one."""
         self.table.set_own_state(state, self._clock())
@@ -217,7 +262,7 @@
         told_incarnation, told = self._told_sequence.get(address, (0, 0))
         sequence = table.sequence
         records = table.changes_since(told if told_incarnation == incarnation else 0)
-        sync = Sync(table.own, merged, records, self.objects.versions())
+        sync = Sync(table.own, merged, records, self.objects.versions(), self.read_demand())
         sent_at = self._clock()
         try:
             reply = await self._pool.request(address, sync, CALL_TIMEOUT_S)
@@ -244,6 +289,8 @@
             self._merged_sequence.pop(address, None)
         for update in reply.updates:
             self.objects.offer(update)
+        if reply.demand:
+            self._demand_by_domain[reply.demand.failure_domain] = reply.demand
         is_own_relay = member and member.failure_domain == self.table.own.failure_domain
         if is_own_relay and not self.table.is_relay(now):
             self.table.silent_domains = frozenset(reply.silent_domains)
--- a/papayalever/cluster/messages.py
+++ b/papayalever/cluster/messages.py
@@ -45,6 +45,16 @@
     value: str
 
 
+@dataclass(frozen=True, slots=True)
+class DomainDemand:
+    """Demand that the instances of one failure domain serve, as its relay has summed it up."""
+
+    failure_domain: str
+    at_ms: int
+    rows: list[tuple[str, str, float, float]]
+    """Service, home region of the callers, slots in use or waited for, bytes a second."""
+
+
 @dataclass(frozen=True, slots=True)
 class Sync:
     """Heartbeat: the sender's record and what changed since the receiver last heard."""
@@ -55,6 +65,8 @@
     records: list[Member]
     versions: dict[str, int]
     """Version of each shared object that the sender holds."""
+    demand: list[tuple[str, str, float, float]] = field(default_factory=list)
+    """The sender's own rows as in `DomainDemand`."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,6 +79,8 @@
     updates: list[ObjectUpdate]
     silent_domains: list[str]
     """Failure domains that the receiver has not heard from; empty unless it is a relay."""
+    demand: DomainDemand | None = None
+    """Demand of the receiver's failure domain, between relays."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/papayalever/config/rules.py
+++ b/papayalever/config/rules.py
@@ -16,6 +16,7 @@
         *_check_services(configuration),
         *_check_blocks(configuration),
         *_check_stops(configuration),
+        *_check_shift_cap(configuration),
     ]
 
 
@@ -33,6 +34,22 @@
     }
 
 
+def slots_by_region(configuration: Configuration, service: str) -> dict[str, float]:
+    """Slots of a service's backend servers in each region."""
+    regions = region_by_domain(configuration)
+    slots = dict.fromkeys(configuration.regions, 0.0)
+    for backend in configuration.services[service].backends:
+        slots[regions[backend.failure_domain]] += backend.slots
+    return slots
+
+
+def planned_stops(configuration: Configuration, kind: StopKind) -> dict[str, float]:
+    """Time (seconds since the Unix epoch) of each planned stop of one kind, by id."""
+    return {
+        stop.id: stop.at.timestamp() for stop in configuration.planned_stops if stop.kind == kind
+    }
+
+
 def _check_regions(configuration: Configuration) -> Iterator[tuple[Path, str]]:
     counts = Counter(
         domain for region in configuration.regions.values() for domain in region.failure_domains
@@ -99,3 +116,11 @@
             yield (*path, "id"), f"there is no region {stop.id!r}"
         if stop.kind == StopKind.BACKEND and stop.id not in backends:
             yield (*path, "id"), f"there is no backend server {stop.id!r}"
+
+
+def _check_shift_cap(configuration: Configuration) -> Iterator[tuple[Path, str]]:
+    if configuration.shift_cap.step_s < configuration.lookup.ttl_s:
+        yield (
+            ("shift_cap", "step_s"),
+            "a step is shorter than lookup.ttl_s: callers' cached answers would add up steps",
+        )
--- a/papayalever/daemon.py
+++ b/papayalever/daemon.py
@@ -27,10 +27,10 @@
 from .config.commit import Committer
 from .config.keeper import ConfigKeeper
 from .config.models import Backend, Configuration, StopKind
-from .config.rules import region_by_domain
+from .config.rules import planned_stops, region_by_domain, slots_by_region
 from .config.versions import InForce
 from .ledger.service import Ledger
-from .lookup.directory import Directory, planned_stops
+from .lookup.directory import Directory
 from .metrics import Metrics
 from .proxy.callers import CallerListener
 from .proxy.claims import Claims
@@ -43,7 +43,9 @@
 from .routing.quarantine import CrashLog
 from .routing.retries import RetryBudget
 from .settings import Settings
-from .steering.plan import PLAN, PLAN_NAME, Plan, latency_by_region
+from .steering.demand import DemandMeter
+from .steering.plan import PLAN_NAME, latency_by_region
+from .steering.service import Steering
 from .store import StoreClient, StoreError
 
 LIST_INTERVAL_S = 2.0
@@ -73,6 +75,7 @@
         self.committer = Committer(self.gossip, self.keeper, self._pool, self._store)
         self.ledger = Ledger(self.gossip, self._pool, self._store, _wall_ms)
         self.directory = Directory(self.gossip.table)
+        self.steering = Steering(self.gossip, self._store, self._read_configuration)
         self.metrics = Metrics(self._read_gauges)
         self.shared = Shared(
             self.gossip,
@@ -81,7 +84,9 @@
             Claims(self.ledger),
             Upstream(),
             self.metrics,
+            DemandMeter(self.directory.home_of),
         )
+        self.gossip.read_demand = lambda: self.shared.demand.rows(time.monotonic())
         self._peers = LinkServer(settings.peer_listener, self._handle_message)
         self._callers = CallerListener(
             settings.caller_listener, settings.limits, self.directory, self.shared
@@ -150,7 +155,7 @@
             "roles": self._read_roles(),
             "config_version": current.version if current else 0,
             "config_digest": current.digest if current else "",
-            "plan_epoch": self.directory.plan.epoch,
+            "plan_version": self.gossip.objects.version(PLAN_NAME),
             "instances": [
                 {
                     "id": member.id,
@@ -183,6 +188,7 @@
             self.keeper.run(),
             self.ledger.run_views(),
             self.ledger.run_copies(),
+            self.steering.run(),
             self._run_platform_list(),
             self._run_planned_stop(),
         ]
@@ -240,17 +246,12 @@
                 groups.setdefault(region_of[backend.failure_domain], []).append(backend)
             ordered = sorted(groups, key=lambda region: latency.get(region, float("inf")))
             self.shared.backends_by_service[name] = [groups[region] for region in ordered]
-            slots = sum(
-                backend.slots
-                for backend in service.backends
-                if region_of[backend.failure_domain] == own.region
-            )
+            slots = slots_by_region(configuration, name).get(own.region, 0.0)
             self.shared.gate_by_service[name].limit.set_share(slots, local)
 
     def _take_object(self, update: ObjectUpdate) -> None:
         if update.name == PLAN_NAME:
-            plan: Plan = PLAN.validate_json(update.value)
-            self.directory.set_plan(plan)
+            self.directory.set_plan(self.steering.plan)
 
     def _take_notice(self, message: Any) -> None:
         now = time.monotonic()
@@ -341,6 +342,10 @@
         await self.shared.upstream.close()
         await self._store.close()
 
+    def _read_configuration(self) -> Configuration | None:
+        current = self.keeper.state.current
+        return current.configuration if current else None
+
     # Figures.
 
     def _read_roles(self) -> list[str]:
@@ -349,6 +354,8 @@
             roles.append("relay")
         if self.ledger.is_replica:
             roles.append("ledger")
+        if self.steering.is_planner:
+            roles.append("planner")
         return roles
 
     def _read_gauges(self) -> dict[str, float]:
--- a/papayalever/lookup/directory.py
+++ b/papayalever/lookup/directory.py
@@ -6,10 +6,18 @@
 from ..cluster.membership import MembershipTable
 from ..cluster.messages import Member
 from ..config.models import Configuration, StopKind
+from ..config.rules import planned_stops
 from ..config.versions import InForce
-from ..steering.plan import Plan, shares_for
+from ..steering.plan import (
+    Plan,
+    Shares,
+    ShiftLimiter,
+    latency_by_region,
+    planned_shares,
+    present_shares,
+)
 from .answers import MIN_TTL_S, LookupAnswer, choose_instances, limit_ttl
-from .blocks import BlockMap
+from .blocks import BlockMap, parse_address
 
 BUCKETS = 256
 ANSWER_LIFE_S = 1.0
@@ -39,6 +47,7 @@
         self._table = table
         self._in_force: InForce | None = None
         self.plan = Plan()
+        self._limiter = ShiftLimiter()
         self._blocks = BlockMap((), ())
         self._cache: dict[tuple[str, str, int], CachedAnswer] = {}
 
@@ -62,6 +71,12 @@
         """Build every answer anew, after a change of membership."""
         self._cache.clear()
 
+    def home_of(self, caller: str) -> str:
+        """Home region of a caller's address; the own region for an unknown one."""
+        address = parse_address(caller)
+        home = self._blocks.find(address) if address is not None else None
+        return home or self._table.own.region
+
     def find(self, service: str, address: int, now: float) -> CachedAnswer:
         """Answer a look-up; raises `UnknownServiceError` or `NoInstanceError`."""
         position = self._blocks.find_block(address)
@@ -80,7 +95,7 @@
         configuration = self._in_force.configuration
         stop_by_instance = planned_stops(configuration, StopKind.INSTANCE)
         members = self._usable_members(configuration, stop_by_instance, now)
-        shares = shares_for(self.plan, configuration, service, home)
+        shares = self._shares(configuration, service, home, members, now)
         choices = choose_instances(members, shares, bucket, configuration.lookup.answers)
         if not choices:
             raise NoInstanceError(service)
@@ -93,21 +108,27 @@
         body = json.dumps(answer.to_document()).encode()
         return CachedAnswer(body, max(1, int(ttl_s)), now + min(ANSWER_LIFE_S, ttl_s))
 
+    def _shares(
+        self,
+        configuration: Configuration,
+        service: str,
+        home: str,
+        members: list[Member],
+        now: float,
+    ) -> Shares:
+        target = planned_shares(self.plan, configuration, service, home)
+        cap = configuration.shift_cap
+        shares = self._limiter.advance(service, home, target, cap.share_per_step, cap.step_s, now)
+        present = {member.region for member in members}
+        latency = latency_by_region(configuration, home)
+        kept = present_shares(shares, present, self.plan, configuration, service)
+        return {region: kept[region] for region in sorted(kept, key=lambda item: latency[item])}
+
     def _usable_members(
         self, configuration: Configuration, stop_by_instance: dict[str, float], now: float
     ) -> list[Member]:
-        region_stops = planned_stops(configuration, StopKind.REGION)
-        usable = [
+        return [
             member
             for member in self._table.live()
             if stop_by_instance.get(member.id, now + MIN_TTL_S * 2) > now + MIN_TTL_S
-            and region_stops.get(member.region, now + 1) > now
         ]
-        return usable
-
-
-def planned_stops(configuration: Configuration, kind: StopKind) -> dict[str, float]:
-    """Time (seconds since the Unix epoch) of each planned stop of one kind, by id."""
-    return {
-        stop.id: stop.at.timestamp() for stop in configuration.planned_stops if stop.kind == kind
-    }
--- a/papayalever/proxy/exchange.py
+++ b/papayalever/proxy/exchange.py
@@ -20,6 +20,7 @@
 from ..routing.matching import RequestPolicy
 from ..routing.quarantine import CrashLog
 from ..routing.retries import RetryBudget, TryFailure, TryState, may_retry
+from ..steering.demand import DemandMeter
 from .bodies import RequestBody, read_body
 from .claims import STORED_BODY_BYTES, Claims, Permit, Replay, read_key
 from .gate import Gate, NotAdmittedError
@@ -55,6 +56,7 @@
     claims: Claims
     upstream: Upstream
     metrics: Metrics
+    demand: DemandMeter
     gate_by_service: dict[str, Gate] = field(default_factory=dict)
     budget_by_service: dict[str, RetryBudget] = field(default_factory=dict)
     backends_by_service: dict[str, list[list[Backend]]] = field(default_factory=dict)
@@ -135,6 +137,12 @@
         self, body: RequestBody, digest: str, recorder: "AnswerRecorder | None"
     ) -> web.StreamResponse:
         gate = self._shared.gate_by_service[self._policy.service_name]
+        with self._shared.demand.count(self._policy.service_name, self._request):
+            return await self._run_in_gate(body, digest, recorder, gate)
+
+    async def _run_in_gate(
+        self, body: RequestBody, digest: str, recorder: "AnswerRecorder | None", gate: Gate
+    ) -> web.StreamResponse:
         try:
             ticket = await gate.enter(self._policy.rank_name, self._deadline)
         except NotAdmittedError as error:
@@ -235,6 +243,7 @@
                         recorder.add(part)
                     await asyncio.wait_for(answer.write(part), WRITE_IDLE_S)
             is_whole = True
+            shared.demand.note_answer(self._policy.service_name, self._request, answer.body_length)
             await answer.write_eof()
         except (aiohttp.ClientError, OSError, TimeoutError):
             _break_off(self._request)
--- a/papayalever/routing/capacity.py
+++ b/papayalever/routing/capacity.py
@@ -18,7 +18,7 @@
         self._total_slots = 1.0
         self._decreased_at = float("-inf")
 
-    def set_share(self, total_slots: int, instances: int) -> None:
+    def set_share(self, total_slots: float, instances: int) -> None:
         """Use another count of slots and of instances that share them."""
         self._total_slots = max(1.0, float(total_slots))
         self._fair_share = max(1.0, total_slots / max(1, instances))
--- a/tests/run.py
+++ b/tests/run.py
@@ -48,7 +48,8 @@
     red = [name for name in result.failed_ids if name in known]
     failed = [name for name in result.failed_ids if name not in known]
     for name in sorted(known):
-        print(f"known red: {name}: {'failed' if name in red else 'did not fail in this run'}")
+        seen = "failed" if name in red else "passed" if name in result.passed_ids else "not run"
+        print(f"known red: {name}: {seen}")
     for name in failed:
         print(f"failed: {name}")
     print(f"{len(result.passed_ids)} passed, {len(failed)} failed, {len(red)} skipped")
