--- a/Makefile
+++ b/Makefile
@@ -19,15 +19,15 @@
 	$(PYTHON) -m tests.run
 
 codestyle: install
-	$(PYTHON) -m black --quiet --check --diff papayalever tests
-	$(PYTHON) -m ruff check papayalever tests
+	$(PYTHON) -m black --quiet --check --diff papayalever tests benchmarks
+	$(PYTHON) -m ruff check papayalever tests benchmarks
 
 format: install
-	$(PYTHON) -m black --quiet papayalever tests
-	$(PYTHON) -m ruff check --fix papayalever tests
+	$(PYTHON) -m black --quiet papayalever tests benchmarks
+	$(PYTHON) -m ruff check --fix papayalever tests benchmarks
 
 measure: install
-	$(PYTHON) -m tests.measure.all
+	$(PYTHON) -m benchmarks.all
 
 clean:
 	rm -rf $(VENV)
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: commands that print figures, not tests."""
--- /dev/null
+++ b/benchmarks/blocks.py
@@ -0,0 +1,83 @@
+"""Cost of the map from caller blocks to homes and of a file of the target's size."""
+
+import random
+import sys
+import time
+import tracemalloc
+from ipaddress import IPv4Network
+
+from papayalever.config.loader import load_configuration
+from papayalever.config.models import CONFIGURATION
+from papayalever.config.versions import pack_text
+from papayalever.lookup.blocks import BlockMap
+
+from .report import print_rows
+
+SIZES = (15_000, 30_000, 60_000, 120_000)
+HOMES = [f"region-{number}" for number in range(77)]
+LOOKUPS = 200_000
+SEED = 7
+
+
+def make_text(blocks: int) -> str:
+    """A declarative file with this many caller blocks and 77 homes."""
+    lines = ["regions:"]
+    lines += [f"  {home}: {{failure_domains: [{home}-a]}}" for home in HOMES]
+    lines += ["ranks:", "  urgent: {order: 0, deadline_s: 3}", "services:", "  shop:"]
+    lines += ["    hosts: [shop.example]", "    routes: [{rank: urgent}]", "    backends:"]
+    lines += [
+        f'      - {{id: b-{number}, address: "10.0.0.{number}:80", failure_domain: {home}-a, '
+        "slots: 4, connections: 800}"
+        for number, home in enumerate(HOMES)
+    ]
+    lines.append("caller_blocks:")
+    for number in range(blocks):
+        address = f"{1 + number // 65_536}.{number // 256 % 256}.{number % 256}.0/24"
+        lines.append(f"  - {{cidr: {address}, home: {HOMES[number % len(HOMES)]}}}")
+    return "\n".join(lines) + "\n"
+
+
+def measure(blocks: int) -> list[str]:
+    """One row of figures."""
+    text = make_text(blocks)
+    began = time.process_time()
+    configuration = load_configuration(text)
+    yaml_s = time.process_time() - began
+    document = CONFIGURATION.dump_json(configuration)
+    began = time.process_time()
+    CONFIGURATION.validate_json(document)
+    json_s = time.process_time() - began
+    pairs = [(block.cidr, block.home) for block in configuration.caller_blocks]
+    tracemalloc.start()
+    began = time.process_time()
+    built = BlockMap(pairs, HOMES)
+    build_s = time.process_time() - began
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    chance = random.Random(SEED)
+    addresses = [chance.getrandbits(24) + (1 << 24) for _ in range(LOOKUPS)]
+    began = time.process_time()
+    for address in addresses:
+        built.find(address)
+    find_us = (time.process_time() - began) / LOOKUPS * 1e6
+    return [
+        f"{blocks}",
+        f"{len(text) / 1e6:.2f}",
+        f"{len(pack_text(text)) / 1e6:.2f}",
+        f"{yaml_s:.2f}",
+        f"{json_s:.2f}",
+        f"{build_s:.2f}",
+        f"{size / 1e6:.2f}",
+        f"{find_us:.2f}",
+    ]
+
+
+def main() -> None:
+    """Print the table."""
+    IPv4Network("10.0.0.0/8")
+    titles = ["blocks", "file MB", "packed MB", "YAML s", "JSON s", "map s", "map MB", "find us"]
+    print_rows(titles, [measure(size) for size in SIZES])
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/papayalever/cluster/links.py
+++ b/papayalever/cluster/links.py
@@ -29,6 +29,8 @@
     def __init__(self, address: str) -> None:
         self.address = address
         self.is_closed = False
+        self.sent_bytes = 0
+        self.received_bytes = 0
         self._socket: ClientConnection | None = None
         self._reader: asyncio.Task | None = None
         self._call_ids = itertools.count(1)
@@ -77,8 +79,10 @@
         self._fail_pending()
 
     async def _send(self, call_id: int, message: Any) -> None:
+        frame = encode(call_id, message)
+        self.sent_bytes += len(frame)
         try:
-            await self._socket.send(encode(call_id, message))
+            await self._socket.send(frame)
         except ConnectionClosed as error:
             self.is_closed = True
             raise PeerUnreachableError(f"The connection to {self.address} was lost.") from error
@@ -86,6 +90,7 @@
     async def _read_replies(self) -> None:
         with suppress(ConnectionClosed, CodecError):
             async for frame in self._socket:
+                self.received_bytes += len(frame)
                 call_id, message = decode(frame)
                 reply = self._reply_by_call.get(call_id)
                 if reply and not reply.done():
@@ -106,6 +111,7 @@
 
     def __init__(self) -> None:
         self._link_by_address: dict[str, asyncio.Task[Link]] = {}
+        self._closed_bytes = 0
         self.sent = 0
 
     async def request(self, address: str, message: Any, timeout_s: float) -> Any:
@@ -132,10 +138,18 @@
         except TimeoutError as error:
             raise PeerTimeoutError(f"{address} did not accept a message.") from error
 
+    @property
+    def bytes(self) -> int:
+        """Bytes of the frames sent and received so far."""
+        open_links = (task.result() for task in self._link_by_address.values() if _is_open(task))
+        return self._closed_bytes + sum(
+            link.sent_bytes + link.received_bytes for link in open_links
+        )
+
     async def close(self) -> None:
         """Close every connection."""
         for task in self._link_by_address.values():
-            if task.done() and not task.cancelled() and not task.exception():
+            if _is_open(task):
                 await task.result().close()
             task.cancel()
         self._link_by_address.clear()
@@ -143,6 +157,8 @@
     async def _open_link(self, address: str) -> Link:
         task = self._link_by_address.get(address)
         if task is None or _is_spent(task):
+            if task and _is_open(task):
+                self._closed_bytes += task.result().sent_bytes + task.result().received_bytes
             task = asyncio.create_task(_dial(address), name=f"dial-{address}")
             self._link_by_address[address] = task
         return await asyncio.shield(task)
@@ -154,6 +170,10 @@
     return task.cancelled() or task.exception() is not None or task.result().is_closed
 
 
+def _is_open(task: asyncio.Task[Link]) -> bool:
+    return task.done() and not task.cancelled() and task.exception() is None
+
+
 async def _dial(address: str) -> Link:
     link = Link(address)
     await link.open()
@@ -170,6 +190,7 @@
         self._server: Server | None = None
         self._tasks: set[asyncio.Task] = set()
         self.received = 0
+        self.bytes = 0
 
     async def start(self) -> None:
         """Listen for peers."""
@@ -196,21 +217,26 @@
         with suppress(ConnectionClosed, CodecError):
             async for frame in socket:
                 self.received += 1
+                self.bytes += len(frame)
                 call_id, message = decode(frame)
                 result = self._handle(message)
                 if inspect.isawaitable(result):
                     self._answer_later(socket, call_id, result)
                 elif call_id:
-                    await socket.send(encode(call_id, result))
+                    await self._send(socket, call_id, result)
+
+    async def _send(self, socket: ServerConnection, call_id: int, reply: Any) -> None:
+        frame = encode(call_id, reply)
+        self.bytes += len(frame)
+        await socket.send(frame)
+
+    async def _answer(self, socket: ServerConnection, call_id: int, result: Awaitable) -> None:
+        reply = await result
+        if call_id:
+            with suppress(ConnectionClosed):
+                await self._send(socket, call_id, reply)
 
     def _answer_later(self, socket: ServerConnection, call_id: int, result: Awaitable) -> None:
-        task = asyncio.create_task(_answer(socket, call_id, result))
+        task = asyncio.create_task(self._answer(socket, call_id, result))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-
-
-async def _answer(socket: ServerConnection, call_id: int, result: Awaitable) -> None:
-    reply = await result
-    if call_id:
-        with suppress(ConnectionClosed):
-            await socket.send(encode(call_id, reply))
--- a/papayalever/config/keeper.py
+++ b/papayalever/config/keeper.py
@@ -10,7 +10,6 @@
 from ..cluster.messages import Body, FetchBody, ObjectUpdate, Prepare, Prepared
 from ..store import StoreClient, StoreError
 from .exceptions import InvalidConfigError
-from .loader import load_configuration
 from .versions import HEAD, HEAD_NAME, ConfigState, digest_text, unpack_text
 
 FETCH_TIMEOUT_S = 3.0
@@ -60,13 +59,11 @@
         if message.base_version < self.state.version:
             return Prepared(replica, f"version {self.state.version} is already in force")
         try:
-            text = unpack_text(message.data)
-            load_configuration(text)
+            if digest_text(unpack_text(message.data)) != message.digest:
+                return Prepared(replica, "the text does not match its digest")
+            self.state.prepare(message.digest, message.data)
         except (InvalidConfigError, ValueError) as error:
             return Prepared(replica, f"the file is not valid here: {error}")
-        if digest_text(text) != message.digest:
-            return Prepared(replica, "the text does not match its digest")
-        self.state.hold(message.digest, message.data)
         return Prepared(replica)
 
     def _take_update(self, update: ObjectUpdate) -> None:
--- a/papayalever/config/versions.py
+++ b/papayalever/config/versions.py
@@ -3,7 +3,7 @@
 import hashlib
 import zlib
 from collections import OrderedDict
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from pydantic import TypeAdapter
 from reactivex.subject import BehaviorSubject
@@ -83,6 +83,7 @@
         self.head: Head | None = None
         self.in_force: BehaviorSubject[InForce | None] = BehaviorSubject(None)
         self._data_by_digest: OrderedDict[str, bytes] = OrderedDict()
+        self._prepared: InForce | None = None
 
     @property
     def current(self) -> InForce | None:
@@ -105,6 +106,13 @@
         """Compressed text by digest, empty if it is not held."""
         return self._data_by_digest.get(digest, b"")
 
+    def prepare(self, digest: str, data: bytes) -> None:
+        """Keep a text that is about to be applied; raises `InvalidConfigError`."""
+        if self._prepared is None or self._prepared.digest != digest:
+            text = unpack_text(data)
+            self._prepared = InForce(0, digest, text, load_configuration(text))
+        self.hold(digest, data)
+
     def hold(self, digest: str, data: bytes) -> None:
         """Keep a text, and put it in force if the newest head names it."""
         self._data_by_digest[digest] = data
@@ -127,9 +135,15 @@
         data = self.get_data(head.digest)
         if not data:
             return
-        if self.current and self.current.digest == head.digest:
-            text, configuration = self.current.text, self.current.configuration
-        else:
+        parsed = next(
+            (
+                item
+                for item in (self._prepared, self.current)
+                if item and item.digest == head.digest
+            ),
+            None,
+        )
+        if parsed is None:
             text = unpack_text(data)
-            configuration = load_configuration(text)
-        self.in_force.on_next(InForce(head.version, head.digest, text, configuration))
+            parsed = InForce(0, head.digest, text, load_configuration(text))
+        self.in_force.on_next(replace(parsed, version=head.version))
--- a/papayalever/daemon.py
+++ b/papayalever/daemon.py
@@ -368,6 +368,7 @@
             "requests_waiting": float(sum(gate.waiting for gate in gates)),
             "peer_messages_sent": float(self._pool.sent),
             "peer_messages_received": float(self._peers.received),
+            "peer_bytes": float(self._pool.bytes + self._peers.bytes),
             "renewed_pools": float(self.shared.upstream.renewed_pools),
             "store_calls": float(sum(self._store.calls_by_kind.values())),
             "drain_seconds": self.drain_s or 0.0,
--- a/papayalever/ledger/service.py
+++ b/papayalever/ledger/service.py
@@ -275,23 +275,28 @@
         """Keep the views of the own region in step with its membership until cancelled."""
         while True:
             await asyncio.sleep(VIEW_INTERVAL_S)
-            # The number of slots is fixed by the first views: it has to be the configured one.
-            if self._is_configured and self._is_coordinator():
-                with suppress(StoreError):
-                    await self._update_views()
+            await self.view_round()
+
+    async def view_round(self) -> None:
+        """As the coordinator of the own region: change its views if they have to change."""
+        # The number of slots is fixed by the first views: it has to be the configured one.
+        if self._is_configured and self._is_coordinator():
+            with suppress(StoreError):
+                await self._update_views()
 
     async def run_copies(self) -> None:
         """Bring new backups up to date and expire old records until cancelled."""
         last_expiry_ms = 0
         while True:
             await asyncio.sleep(VIEW_INTERVAL_S)
-            await self._copy_to_backups()
+            await self.copy_round()
             if self._now_ms() - last_expiry_ms >= EXPIRE_INTERVAL_S * 1000:
                 last_expiry_ms = self._now_ms()
                 for slot in self._slot_by_key.values():
                     slot.expire(last_expiry_ms, self.rules)
 
-    async def _copy_to_backups(self) -> None:
+    async def copy_round(self) -> None:
+        """As a primary: send complete copies to the backups that lack one."""
         for (region, index), slot in list(self._slot_by_key.items()):
             view = self._view(region, index)
             if slot.role == Role.PRIMARY and not slot.is_synced and view:
--- a/tests/support/backend.py
+++ b/tests/support/backend.py
@@ -29,6 +29,7 @@
         self.is_draining = False
         self.truncates = False
         self.lies_about_id = False
+        self.is_dead = False
         self.accidents = 0
         self._is_down = False
         self.is_silent_on_old = False
@@ -55,6 +56,8 @@
         if self.is_silent_on_old:
             self.is_silent_on_old = False
             self._silent_transports |= self._known_transports
+        if self.is_dead:
+            request.transport.abort()
         if request.transport in self._silent_transports:
             await asyncio.Event().wait()
         self._known_transports.add(request.transport)
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -4,7 +4,9 @@
 
 from papayalever.cluster.exceptions import PeerUnreachableError
 from papayalever.cluster.gossip import Gossip
-from papayalever.cluster.messages import Broadcast, Member, Sync
+from papayalever.cluster.messages import Broadcast, Claim, Member, Replicate, Sync
+from papayalever.config.models import LedgerOptions
+from papayalever.ledger.service import Ledger
 from papayalever.store import (
     ListedInstance,
     StoreConflictError,
@@ -64,6 +66,7 @@
         self.clock = clock
         self.store = store
         self.by_address: dict[str, Gossip] = {}
+        self.ledgers: dict[str, Ledger] = {}
         self.cut: set[frozenset[str]] = set()
         self.messages = 0
 
@@ -76,6 +79,16 @@
         self.by_address[name] = gossip
         return gossip
 
+    def add_ledger(self, name: str, options: LedgerOptions) -> Ledger:
+        """Run a ledger on an instance that was added."""
+        ledger = Ledger(
+            self.by_address[name], FakePool(self, name), self.store,
+            lambda: int(self.clock.now * 1000),
+        )  # fmt: skip
+        ledger.set_options(options)
+        self.ledgers[name] = ledger
+        return ledger
+
     def cut_off(self, left: list[str], right: list[str]) -> None:
         self.cut |= {frozenset((one, other)) for one in left for other in right}
 
@@ -84,6 +97,9 @@
             self.clock.now += step_s
             for gossip in list(self.by_address.values()):
                 await gossip.sync_round()
+            for ledger in list(self.ledgers.values()):
+                await ledger.view_round()
+                await ledger.copy_round()
 
 
 class FakePool:
@@ -103,4 +119,9 @@
             return receiver.handle_sync(message)
         if isinstance(message, Broadcast):
             return receiver.handle_broadcast(message)
-        raise PeerUnreachableError(address)
+        ledger = network.ledgers[address]
+        if isinstance(message, Replicate):
+            return ledger.handle_replicate(message)
+        if isinstance(message, Claim):
+            return await ledger.handle_claim(message)
+        return await ledger.handle_settle(message)
