Give each instance slots of its own and let shed work keep its place

In the flood of the most urgent the lower ranks kept 3.8% where their floor is 45%: their wait was reckoned behind the whole urgent queue. Ruled out: the queue (urgent p99 was 106 ms), too little processor (the backend servers were 91% busy).

Change: the region's slots are divided among its instances and own slots are chosen first; a shed keeps the request's place until its deadline, asked again soon by rank, outside the budget; the wait is the shorter of the rank's order and its floor; margins for slow answers.

--- a/benchmarks/floods.py
+++ b/benchmarks/floods.py
@@ -137,7 +137,8 @@
     for name, flood in SCENARIOS.items():
         for version, run in (("papayalever", run_ours), ("naive", run_naive)):
             results = await run(name, flood)
-            goodput = sum(item.answered for item in results.values()) / DURATION_S / CAPACITY_S
+            answered = sum(item.answered for item in results.values())
+            goodput = answered / max(item.last_s for item in results.values()) / CAPACITY_S
             if name == "quiet" and version == "papayalever":
                 quiet_p99 = results["urgent"].quantile_ms(0.99)
             for rank, item in results.items():
--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -39,6 +39,8 @@
     answered: int = 0
     refused: int = 0
     late: int = 0
+    last_s: float = 0.0
+    """Time from the start of the load to the last answer."""
     latency_s: list[float] = field(default_factory=list)
 
     def quantile_ms(self, share: float) -> float:
@@ -67,6 +69,7 @@
     """Send Poisson streams whatever the answers, and sort the answers by rank."""
     results = {stream.rank: RankResult() for stream in streams}
     tasks: set[asyncio.Task] = set()
+    started = time.monotonic()
     connector = aiohttp.TCPConnector(limit=0)
     async with aiohttp.ClientSession(connector=connector) as session:
 
@@ -89,6 +92,7 @@
             if status == 200:
                 result.answered += 1
                 result.latency_s.append(time.monotonic() - began)
+                result.last_s = time.monotonic() - started
             else:
                 result.refused += 1
 
--- a/papayalever/daemon.py
+++ b/papayalever/daemon.py
@@ -39,7 +39,7 @@
 from .proxy.shared import Shared
 from .proxy.upstream import Upstream
 from .routing.admission import RankRule
-from .routing.backends import BackendTable, choose_subset
+from .routing.backends import BackendTable, choose_subset, divide_slots
 from .routing.quarantine import CrashLog
 from .routing.retries import RetryBudget
 from .settings import Settings
@@ -236,7 +236,8 @@
         """Divide slots and connections among the live instances."""
         own = self.gossip.table.own
         live = self.gossip.table.live()
-        local = sum(member.region == own.region for member in live)
+        local = [member.id for member in live if member.region == own.region]
+        own_slots: dict[str, int] = {}
         region_of = region_by_domain(configuration)
         latency = latency_by_region(configuration, own.region)
         for name, service in configuration.services.items():
@@ -246,7 +247,9 @@
             ordered = sorted(groups, key=lambda region: latency.get(region, float("inf")))
             self.shared.backends_by_service[name] = [groups[region] for region in ordered]
             slots = slots_by_region(configuration, name).get(own.region, 0.0)
-            self.shared.gate_by_service[name].limit.set_share(slots, local)
+            self.shared.gate_by_service[name].limit.set_share(slots, len(local))
+            own_slots |= divide_slots(groups.get(own.region, []), own.id, local)
+        self.shared.backends.set_own_slots(own_slots)
 
     def _take_object(self, update: ObjectUpdate) -> None:
         if update.name == PLAN_NAME:
--- a/papayalever/proxy/dispatch.py
+++ b/papayalever/proxy/dispatch.py
@@ -9,7 +9,7 @@
 from ..config.models import Backend
 from ..routing.backends import BackendState
 from ..routing.matching import RequestPolicy
-from ..routing.retries import TryFailure, TryState, may_retry
+from ..routing.retries import TryFailure, TryState, is_budgeted, may_retry
 from .answers import AnswerRecorder, pass_on
 from .bodies import RequestBody
 from .gate import Gate
@@ -31,7 +31,11 @@
 LEAVING_S = 60.0
 CRASH_SPREAD_S = 0.3
 """How long to wait for other instances' crash notices before a crashed request is retried."""
-PAUSED_S = 0.02
+FIRST_PAUSE_S = 0.002
+PAUSES_PER_ORDER = 4
+"""A less urgent rank asks full servers less often."""
+PAUSE_GROWTH = 1.5
+MAX_PAUSE_S = 0.05
 MIN_TRY_S = 0.001
 
 
@@ -83,7 +87,7 @@
             if failure == TryFailure.SHED:
                 gate.limit.note_shed(shared.clock())
             failed.add(state.backend.id)
-            if not (self._may_try_again(failure) and budget.take()):
+            if not self._may_try_again(failure) or (is_budgeted(failure) and not budget.take()):
                 raise refuse_tries(REASON_BY_FAILURE[failure], self.may_have_run)
             shared.metrics.retries.labels(failure).inc()
 
@@ -144,6 +148,8 @@
     async def _choose(self, failed: set[str]) -> BackendState | None:
         """A server of the nearest region that has one; a server that sheds is waited for."""
         shared = self._shared
+        order = self._policy.rank.order
+        pause_s = FIRST_PAUSE_S * (1 + PAUSES_PER_ORDER * order)
         while True:
             now = shared.clock()
             for backends in shared.backends_by_service[self._policy.service_name]:
@@ -155,10 +161,11 @@
                     break
             else:
                 return None
-            if now + PAUSED_S > self._deadline:
+            if now + pause_s > self._deadline:
                 return None
             failed.clear()
-            await asyncio.sleep(PAUSED_S)
+            await asyncio.sleep(pause_s)
+            pause_s = min(MAX_PAUSE_S, pause_s * PAUSE_GROWTH) if order else pause_s
 
     def _note_failed(self, state: BackendState, error: TryFailedError) -> None:
         shared = self._shared
--- a/papayalever/routing/admission.py
+++ b/papayalever/routing/admission.py
@@ -9,9 +9,13 @@
 from enum import StrEnum
 
 SERVICE_TIME_WEIGHT = 0.1
-DEMAND_WEIGHT = 0.05
 FIRST_SERVICE_TIME_S = 0.02
 MAX_WAITING = 10_000
+DEVIATIONS = 3.0
+MARGIN_S = 0.01
+MIN_SHARE = 0.05
+URGENT_EXTRA = 1.0
+"""Places over the capacity that the most urgent rank may use."""
 
 
 class Refusal(StrEnum):
@@ -56,7 +60,7 @@
         self._running: dict[str, int] = dict.fromkeys(self._ranks, 0)
         self._credit: dict[str, float] = dict.fromkeys(self._ranks, 0.0)
         self._service_time_s: dict[str, float] = dict.fromkeys(self._ranks, FIRST_SERVICE_TIME_S)
-        self._urgent_demand = 0.0
+        self._deviation_s: dict[str, float] = dict.fromkeys(self._ranks, 0.0)
         self.capacity = capacity
 
     @property
@@ -71,8 +75,7 @@
 
     def offer(self, ticket: Ticket, now: float) -> Outcome:
         """Start, queue or refuse a new request."""
-        expected_s = self._expected_wait_s(ticket.rank) + self._service_time_s[ticket.rank]
-        if now + expected_s > ticket.deadline:
+        if now + self._expected_s(ticket.rank) > ticket.deadline:
             return Outcome(refused=[(ticket, Refusal.DEADLINE_TOO_CLOSE)])
         if self.waiting >= MAX_WAITING:
             return Outcome(refused=[(ticket, Refusal.QUEUE_FULL)])
@@ -84,8 +87,7 @@
         self._running[ticket.rank] -= 1
         if ticket.started_at is not None:
             took_s = now - ticket.started_at
-            average = self._service_time_s[ticket.rank]
-            self._service_time_s[ticket.rank] = average + SERVICE_TIME_WEIGHT * (took_s - average)
+            self._note_service_time(ticket.rank, took_s)
         return self._start_next(now)
 
     def withdraw(self, ticket: Ticket) -> None:
@@ -94,6 +96,11 @@
         if ticket in queue:
             queue.remove(ticket)
 
+    def _note_service_time(self, rank: str, took_s: float) -> None:
+        error_s = took_s - self._service_time_s[rank]
+        self._service_time_s[rank] += SERVICE_TIME_WEIGHT * error_s
+        self._deviation_s[rank] += SERVICE_TIME_WEIGHT * (abs(error_s) - self._deviation_s[rank])
+
     def _start_next(self, now: float) -> Outcome:
         outcome = Outcome()
         self._refuse_late(outcome, now)
@@ -104,41 +111,28 @@
             ticket = self._waiting[rank].popleft()
             ticket.started_at = now
             self._running[rank] += 1
-            self._note_demand()
             self._give_credit(rank)
             outcome.started.append(ticket)
 
     def _refuse_late(self, outcome: Outcome, now: float) -> None:
         for rank, queue in self._waiting.items():
-            while queue and now + self._service_time_s[rank] > queue[0].deadline:
+            while queue and now + self._finish_s(rank) > queue[0].deadline:
                 outcome.refused.append((queue.popleft(), Refusal.DEADLINE_TOO_CLOSE))
 
     def _pick_rank(self) -> str | None:
+        """The rank to start next: one that is owed its floor, else the most urgent."""
         free = self.capacity - self.running
-        if free < 1 and self.running > 0:
-            return None
         waiting = [rank for rank in self._ranks if self._waiting[rank]]
         owed = [rank for rank in waiting if self._credit[rank] >= 1]
-        if owed:
-            return max(owed, key=lambda rank: self._credit[rank])
-        if not waiting:
-            return None
-        rank = waiting[0]
-        if rank != self._ranks[0] and free - self._reserve() < 1:
-            return None
-        return rank
-
-    def _reserve(self) -> float:
-        """Places kept for the most urgent rank: what it used lately, less what it uses now."""
-        if self.capacity < 2:
-            return 0.0
-        wanted = min(self._urgent_demand, self.capacity / 2)
-        return max(0.0, wanted - self._running[self._ranks[0]])
-
-    def _note_demand(self) -> None:
-        urgent = self._running[self._ranks[0]]
-        weight = 0.5 if urgent > self._urgent_demand else DEMAND_WEIGHT
-        self._urgent_demand += weight * (urgent - self._urgent_demand)
+        if free >= 1 or self.running == 0:
+            return (
+                max(owed, key=lambda rank: self._credit[rank])
+                if owed
+                else next(iter(waiting), None)
+            )
+        # The most urgent rank may try for a place that another instance's work frees.
+        is_urgent = waiting[:1] == self._ranks[:1]
+        return waiting[0] if is_urgent and not owed and free + URGENT_EXTRA >= 1 else None
 
     def _give_credit(self, started: str) -> None:
         """Each start gives the waiting ranks their floor of it; a start spends one."""
@@ -147,23 +141,25 @@
                 self._credit[rank] += self._rules[rank].floor
         self._credit[started] = max(0.0, self._credit[started] - 1)
 
+    def _expected_s(self, rank: str) -> float:
+        """Time until a new request of a rank would be answered, with a margin."""
+        return self._expected_wait_s(rank) + self._finish_s(rank)
+
+    def _finish_s(self, rank: str) -> float:
+        """Time that a started request takes, with a margin for slow ones."""
+        return self._service_time_s[rank] + DEVIATIONS * self._deviation_s[rank] + MARGIN_S
+
     def _expected_wait_s(self, rank: str) -> float:
-        """Time until the work ahead has drained at the present capacity."""
-        order = self._rules[rank].order
-        ahead_s = sum(
+        """Time in the queue: by the order of the ranks or by the rank's floor, what is shorter."""
+        own_s = len(self._waiting[rank]) * self._service_time_s[rank]
+        floors = sum(self._rules[other].floor for other in self._ranks if self._waiting[other])
+        floor = self._rules[rank].floor
+        ahead_s = own_s + sum(
             len(queue) * self._service_time_s[other]
             for other, queue in self._waiting.items()
-            if self._rules[other].order <= order
-        )
-        share = 1.0 if order == self._rules[self._ranks[0]].order else self._left_share(rank)
-        return ahead_s / max(1.0, self.capacity * share)
-
-    def _left_share(self, rank: str) -> float:
-        """Share of the capacity that a lower rank can count on."""
-        urgent = sum(
-            self._running[other]
-            for other in self._ranks
             if self._rules[other].order < self._rules[rank].order
         )
-        free = max(0.0, self.capacity - urgent) / max(1.0, self.capacity)
-        return max(free, self._rules[rank].floor, 0.05)
+        in_order_s = ahead_s / max(1.0, self.capacity * max(MIN_SHARE, 1.0 - floors + floor))
+        if floor <= 0:
+            return in_order_s
+        return min(in_order_s, own_s / (self.capacity * floor))
--- a/papayalever/routing/backends.py
+++ b/papayalever/routing/backends.py
@@ -9,7 +9,7 @@
 
 EJECT_S = 2.0
 MAX_EJECT_S = 30.0
-SHED_PAUSE_S = 0.05
+SHED_PAUSE_S = 0.002
 LOAD_LIFE_S = 0.5
 COLD_S = 5.0
 COLD_PENALTY = 0.5
@@ -37,6 +37,11 @@
 
     def __init__(self) -> None:
         self._state_by_id: dict[str, BackendState] = {}
+        self._own_slots_by_id: dict[str, int] = {}
+
+    def set_own_slots(self, own_slots_by_id: dict[str, int]) -> None:
+        """Use another division of the slots among the instances, see `divide_slots`."""
+        self._own_slots_by_id = own_slots_by_id
 
     def set_backends(self, backends: Iterable[Backend]) -> None:
         """Use another set; the state of those that stay is kept."""
@@ -61,7 +66,10 @@
     def choose(
         self, candidates: Sequence[Backend], avoid: Collection[str], now: float, rng: Random
     ) -> BackendState | None:
-        """The less loaded of two random servers that accept work (Mitzenmacher 2001)."""
+        """The less loaded of two random servers that accept work (Mitzenmacher 2001).
+
+        Servers on which an own slot is free come first: there nobody's work collides.
+        """
         states = [
             state
             for state in map(self._find, candidates)
@@ -70,6 +78,8 @@
         usable = [state for state in states if is_usable(state, now)]
         if not usable:
             return None
+        own = [state for state in usable if self._has_own_slot(state)]
+        usable = own or usable
         pair = rng.sample(usable, min(2, len(usable)))
         return min(pair, key=lambda state: estimate_load(state, now))
 
@@ -120,6 +130,9 @@
         state.leaving_until = until
         return True
 
+    def _has_own_slot(self, state: BackendState) -> bool:
+        return state.in_flight < self._own_slots_by_id.get(state.backend.id, 0)
+
     def _find(self, backend: Backend) -> BackendState | None:
         return self._state_by_id.get(backend.id)
 
@@ -139,6 +152,26 @@
     return load + (COLD_PENALTY if is_cold else 0.0)
 
 
+def divide_slots(backends: Sequence[Backend], own: str, instances: Sequence[str]) -> dict[str, int]:
+    """Slots of each server that belong to one of the ``instances`` that share the servers.
+
+    Every instance computes the same division; while views differ for a moment, servers shed.
+    """
+    order = sorted(instances)
+    if own not in order:
+        return {}
+    position = order.index(own)
+    slots = [
+        backend.id
+        for backend in sorted(backends, key=lambda item: item.id)
+        for _ in range(backend.slots)
+    ]
+    owned: dict[str, int] = {}
+    for backend_id in slots[position :: len(order)]:
+        owned[backend_id] = owned.get(backend_id, 0) + 1
+    return owned
+
+
 def choose_subset(
     backends: Sequence[Backend], instance: str, instances: int
 ) -> tuple[Backend, ...]:
--- a/papayalever/routing/retries.py
+++ b/papayalever/routing/retries.py
@@ -6,7 +6,7 @@
 BUDGET_SHARE = 0.1
 BUDGET_BURST = 10.0
 MAX_TRIES = 3
-MAX_SHED_TRIES = 6
+MAX_CONNECT_TRIES = 6
 
 
 class TryFailure(StrEnum):
@@ -21,10 +21,6 @@
     CROSSED = "crossed-answer"
 
 
-NOT_RUN_FAILURES = frozenset({TryFailure.NOT_CONNECTED, TryFailure.SHED})
-"""Failures after which the backend server has certainly not run the request."""
-
-
 @dataclass(frozen=True, slots=True)
 class TryState:
     """What is known when a try has failed."""
@@ -58,6 +54,14 @@
     """Whether another try is safe and useful, before the budget is asked."""
     if state.time_left_s <= 0 or not state.is_body_replayable:
         return False
-    if state.failure in NOT_RUN_FAILURES:
-        return state.tries < MAX_SHED_TRIES
+    if state.failure == TryFailure.SHED:
+        # A server that sheds does no work: its place in the queue is kept until the deadline.
+        return True
+    if state.failure == TryFailure.NOT_CONNECTED:
+        return state.tries < MAX_CONNECT_TRIES
     return state.is_idempotent and state.tries < MAX_TRIES
+
+
+def is_budgeted(failure: TryFailure) -> bool:
+    """Whether a try after this failure may add to the servers' work."""
+    return failure != TryFailure.SHED
