Split the ledger's service into client, replica, coordinator and state

Read as a newcomer, the sides could not be told apart.

Change: a module for each; the facade connects them. The stand-in's second crash at once no longer answers with a page that is not its own protocol.

--- a/papayalever/daemon.py
+++ b/papayalever/daemon.py
@@ -105,9 +105,9 @@
             FetchBody: self.keeper.handle_fetch,
             Prepare: self.keeper.handle_prepare,
             PrepareDomain: self.committer.handle_prepare_domain,
-            Claim: self.ledger.handle_claim,
-            Settle: self.ledger.handle_settle,
-            Replicate: self.ledger.handle_replicate,
+            Claim: self.ledger.replica.handle_claim,
+            Settle: self.ledger.replica.handle_settle,
+            Replicate: self.ledger.replica.handle_replicate,
         }
 
     @property
@@ -167,7 +167,7 @@
                 for member in sorted(table.members, key=lambda item: item.id)
             ],
             "counters": self.metrics.counts(),
-            "ledger_verdicts": dict(self.ledger.verdicts),
+            "ledger_verdicts": dict(self.ledger.client.verdicts),
             "latency_ms": self.metrics.latency_ms(),
             "gauges": self._read_gauges(),
         }
@@ -185,8 +185,8 @@
             self.gossip.run(),
             self.gossip.run_watch(),
             self.keeper.run(),
-            self.ledger.run_views(),
-            self.ledger.run_copies(),
+            self.ledger.coordinator.run(),
+            self.ledger.replica.run(),
             self.steering.run(),
             self._run_platform_list(),
             self._run_planned_stop(),
@@ -208,7 +208,7 @@
         if in_force is None:
             return
         configuration = in_force.configuration
-        self.ledger.set_options(configuration.ledger)
+        self.ledger.state.set_options(configuration.ledger)
         backends = [
             backend for service in configuration.services.values() for backend in service.backends
         ]
@@ -323,7 +323,7 @@
     async def _wait_handover(self) -> None:
         give_up_at = time.monotonic() + HANDOVER_TIMEOUT_S
         while time.monotonic() < give_up_at:
-            is_handed_over = not self.ledger.is_replica
+            is_handed_over = not self.ledger.state.is_replica
             # Another instance may hand out this one until it hears of the stop.
             left_s = time.monotonic() - self._leaving_since
             if is_handed_over and left_s > self._ttl_s() + SPREAD_S:
@@ -354,7 +354,7 @@
         roles = ["entry", "lookup"]
         if self.gossip.is_relay:
             roles.append("relay")
-        if self.ledger.is_replica:
+        if self.ledger.state.is_replica:
             roles.append("ledger")
         if self.steering.is_planner:
             roles.append("planner")
@@ -365,7 +365,7 @@
         return {
             "config_version": float(self.keeper.state.version),
             "instances_live": float(len(self.gossip.table.live())),
-            "ledger_records": float(self.ledger.record_count),
+            "ledger_records": float(self.ledger.state.record_count),
             "requests_running": float(sum(gate.running for gate in gates)),
             "requests_waiting": float(sum(gate.waiting for gate in gates)),
             "peer_messages_sent": float(self._pool.sent),
--- /dev/null
+++ b/papayalever/ledger/coordinator.py
@@ -0,0 +1,84 @@
+"""Keeps the views of the own region in step with its membership."""
+
+import asyncio
+import uuid
+from contextlib import suppress
+
+from ..cluster.gossip import SHARED_PREFIX, Gossip
+from ..cluster.messages import MemberState, ObjectUpdate
+from ..store import StoreClient, StoreError, put_surely
+from .state import LedgerState
+from .views import REGION_VIEWS, RegionViews, next_views, object_name
+
+VIEW_INTERVAL_S = 0.5
+VIEW_SETTLE_S = 5.0
+
+
+class Coordinator:
+    """Changes the views while this instance is the most senior one of its region.
+
+    Two instances may believe so at once: the conditional update lets one view follow another.
+    """
+
+    def __init__(self, state: LedgerState, gossip: Gossip, store: StoreClient) -> None:
+        self._state = state
+        self._gossip = gossip
+        self._store = store
+
+    async def run(self) -> None:
+        """Look at the views again and again until cancelled."""
+        while True:
+            await asyncio.sleep(VIEW_INTERVAL_S)
+            await self.view_round()
+
+    async def view_round(self) -> None:
+        """Change the views of the own region if they have to change."""
+        # The number of slots is fixed by the first views: it has to be the configured one.
+        if self._state.is_configured and self._is_coordinator():
+            with suppress(StoreError):
+                await self._update_views()
+
+    def _is_coordinator(self) -> bool:
+        table = self._gossip.table
+        live = table.live(table.own.region)
+        return bool(live) and live[0].id == table.own_id
+
+    async def _update_views(self) -> None:
+        table = self._gossip.table
+        region = table.own.region
+        name = object_name(region)
+        if not self._gossip.objects.version(name):
+            await self._read_views(name)
+        views = next_views(
+            self._state.region_views(region),
+            self._state.options.ranges_per_region,
+            table.live(region),
+            self._state.find,
+            self._is_gone,
+            self._state.now_ms(),
+        )
+        if views is None:
+            return
+        proposal = RegionViews(region, f"{table.own.replica}/{uuid.uuid4().hex}", views)
+        value = REGION_VIEWS.dump_json(proposal)
+        known = self._gossip.objects.version(name)
+        try:
+            version = await put_surely(
+                self._store, SHARED_PREFIX + name, value, known, VIEW_SETTLE_S
+            )
+        except StoreError:
+            await self._read_views(name)
+            raise
+        self._gossip.publish(ObjectUpdate(name, version, value.decode()))
+
+    async def _read_views(self, name: str) -> None:
+        found = await self._store.get(SHARED_PREFIX + name)
+        if found:
+            self._gossip.publish(ObjectUpdate(name, found.version, found.value.decode()))
+
+    def _is_gone(self, replica: str) -> bool:
+        """Whether this run of an instance has ended, not merely gone silent."""
+        member = self._gossip.table.get(replica.split("#", 1)[0])
+        if member is None or member.replica != replica:
+            return True
+        return member.state == MemberState.DEAD
--- a/papayalever/ledger/views.py
+++ b/papayalever/ledger/views.py
@@ -64,14 +64,16 @@
 """Whether a replica has ended for certain; a silent one may still be granting claims."""
 
 
+OBJECT_PREFIX = "ledger/"
+
+
 def object_name(region: str) -> str:
     """Name of the shared object with a region's views."""
-    return f"ledger/{region}"
+    return OBJECT_PREFIX + region
 
 
 def next_views(
     current: RegionViews | None,
-    region: str,
     slots: int,
     live: Sequence[Member],
     find: FindReplica,
--- a/papayalever/proxy/claims.py
+++ b/papayalever/proxy/claims.py
@@ -101,12 +101,12 @@
     ) -> Permit | Replay:
         """Get the right to run a request; raises `ProblemError`. ``deadline`` is loop time."""
         first = place_key(key, service, regions, 1)
-        slots = self._ledger.slot_count(first.region)
+        slots = self._ledger.state.slot_count(first.region)
         place = place_key(key, service, regions, slots)
         claim = Claim(place.region, place.slot, 0, place.record_key, attempt, digest, key.minted_ms)
         give_up_at = min(deadline, asyncio.get_running_loop().time() + CLAIM_BUDGET_S)
         try:
-            reply = await self._ledger.claim(claim, give_up_at)
+            reply = await self._ledger.client.claim(claim, give_up_at)
         except LedgerUnavailableError as error:
             raise refuse_not_run(
                 Reason.LEDGER_UNAVAILABLE,
@@ -119,7 +119,7 @@
 
     def settle(self, permit: Permit, state: RecordState, answer: StoredAnswer | None) -> None:
         """Report the end of the attempt."""
-        self._ledger.settle_later(permit.settle(state, answer))
+        self._ledger.client.settle_later(permit.settle(state, answer))
 
     def _judge(self, reply: ClaimReply, claim: Claim) -> Permit | Replay:
         if reply.verdict == ClaimVerdict.GRANTED:
--- a/tests/support/backend.py
+++ b/tests/support/backend.py
@@ -114,7 +114,8 @@
     async def _crash(self, request: web.Request) -> web.StreamResponse:
         self.crashes += 1
         if self._is_down:
-            raise web.HTTPServiceUnavailable()
+            request.transport.abort()
+            return web.Response(status=500)
         self._is_down = True
         await self._site.stop()
         request.transport.abort()
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -85,7 +85,7 @@
             self.by_address[name], FakePool(self, name), self.store,
             lambda: int(self.clock.now * 1000),
         )  # fmt: skip
-        ledger.set_options(options)
+        ledger.state.set_options(options)
         self.ledgers[name] = ledger
         return ledger
 
@@ -98,8 +98,8 @@
             for gossip in list(self.by_address.values()):
                 await gossip.sync_round()
             for ledger in list(self.ledgers.values()):
-                await ledger.view_round()
-                await ledger.copy_round()
+                await ledger.coordinator.view_round()
+                await ledger.replica.copy_round()
 
 
 class FakePool:
@@ -122,9 +122,9 @@
             return receiver.handle_sync(message)
         if isinstance(message, Broadcast):
             return receiver.handle_broadcast(message)
-        ledger = network.ledgers[address]
+        replica = network.ledgers[address].replica
         if isinstance(message, Replicate):
-            return ledger.handle_replicate(message)
+            return replica.handle_replicate(message)
         if isinstance(message, Claim):
-            return await ledger.handle_claim(message)
-        return await ledger.handle_settle(message)
+            return await replica.handle_claim(message)
+        return await replica.handle_settle(message)
--- a/tests/test_ledger_cuts.py
+++ b/tests/test_ledger_cuts.py
@@ -41,7 +41,7 @@
         claim = Claim(REGION, 0, 0, key, attempt or f"{entry}/{key}", "digest", minted_ms)
         give_up_at = asyncio.get_running_loop().time() + PATIENCE_S
         try:
-            reply = await self.network.ledgers[entry].claim(claim, give_up_at)
+            reply = await self.network.ledgers[entry].client.claim(claim, give_up_at)
         except LedgerUnavailableError:
             return "unavailable"
         return reply.verdict
--- a/tests/test_ledger_rules.py
+++ b/tests/test_ledger_rules.py
@@ -112,9 +112,7 @@
             return node.member if node and not node.is_frozen else None
 
         live = [node.member for node in self.nodes if not node.is_frozen]
-        views = next_views(
-            self.views, "r", 1, live, find, lambda item: find(item) is None, self.now_ms
-        )
+        views = next_views(self.views, 1, live, find, lambda item: find(item) is None, self.now_ms)
         if views:
             self.views = RegionViews("r", "w", views)
 
