Separate the spreading of broadcasts from the heartbeats

Cause: gossip.py did heartbeats and the forwarding of broadcasts; the second has its own state (seen ids) and its own rule (who forwards to whom).

Change: cluster/spreading.py with the Spreader. No behaviour changes.

--- a/papayalever/cluster/gossip.py
+++ b/papayalever/cluster/gossip.py
@@ -5,11 +5,9 @@
 """
 
 import asyncio
-import itertools
 import random
 import time
-from collections import OrderedDict
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from typing import Any
 
 import logbook
@@ -21,9 +19,7 @@
 from .links import LinkPool
 from .membership import MEMBER_SILENCE_S, SYNC_INTERVAL_S, MembershipTable
 from .messages import (
-    Broadcast,
     DomainDemand,
-    Done,
     Member,
     MemberState,
     ObjectUpdate,
@@ -31,13 +27,13 @@
     SyncReply,
 )
 from .objects import ObjectCache
+from .spreading import Spreader
 
 CALL_TIMEOUT_S = 1.0
 LEASE_S = 3.0
 """Shorter than the silence after which a relay declares a member dead."""
 SHARED_PREFIX = "shared/"
 WATCH_RETRY_S = 1.0
-REMEMBERED_BROADCASTS = 10_000
 SEED_CHANCE = 0.2
 """Chance in each round to call a seed that is not among the members."""
 
@@ -66,8 +62,7 @@
         self._pool = pool
         self._store = store
         self._clock = clock
-        self._broadcast_ids = itertools.count(1)
-        self._seen_broadcasts: OrderedDict[str, None] = OrderedDict()
+        self.spreader = Spreader(self.table, pool, clock, self._deliver)
         self._merged_sequence: dict[str, tuple[int, int]] = {}
         self._told_sequence: dict[str, tuple[int, int]] = {}
         self._answered_at: dict[str, float] = {}
@@ -75,7 +70,7 @@
         self._demand_by_domain: dict[str, DomainDemand] = {}
         self.read_demand: Callable[[], list] = list
         """Own demand, as rows of `DomainDemand`."""
-        self._pushes: set[asyncio.Task] = set()
+        self._calls: set[asyncio.Task] = set()
 
     @property
     def is_relay(self) -> bool:
@@ -127,7 +122,7 @@
                 update = ObjectUpdate(name, item.version, item.value.decode())
                 if self.objects.offer(update):
                     # The other domains' relays watch too: only the own members need it.
-                    self._broadcast_from("", update)
+                    self.spreader.send_to_domain(update)
 
     async def sync_round(self) -> None:
         """Call every instance that this one exchanges heartbeats with."""
@@ -170,30 +165,13 @@
     def _ask_if_behind(self, sync: Sync) -> None:
         """Call a sender back that holds a newer shared object."""
         if any(version > self.objects.version(name) for name, version in sync.versions.items()):
-            self._spawn(self._sync_with(sync.sender.peer_address, sync.sender.id))
-
-    def _spawn(self, work: Coroutine) -> None:
-        task = asyncio.create_task(work)
-        self._pushes.add(task)
-        task.add_done_callback(self._pushes.discard)
-
-    def handle_broadcast(self, broadcast: Broadcast) -> Done:
-        """Deliver a broadcast once and, as a relay, forward it."""
-        if self._remember(broadcast.id):
-            self._deliver(broadcast.message)
-            if self.is_relay:
-                self._forward(broadcast)
-        return Done()
+            call = asyncio.create_task(self._sync_with(sync.sender.peer_address, sync.sender.id))
+            self._calls.add(call)
+            call.add_done_callback(self._calls.discard)
 
     def broadcast(self, message: Any) -> None:
         """Send a message to every instance; this one does not receive it."""
-        self._broadcast_from(self.table.own.failure_domain, message)
-
-    def _broadcast_from(self, origin_domain: str, message: Any) -> None:
-        broadcast_id = f"{self.table.own.replica}/{next(self._broadcast_ids)}"
-        broadcast = Broadcast(broadcast_id, origin_domain, message)
-        self._remember(broadcast.id)
-        self._forward(broadcast)
+        self.spreader.send_everywhere(message)
 
     def publish(self, update: ObjectUpdate) -> None:
         """Take over a shared object and, if it is new, broadcast it."""
@@ -356,38 +334,6 @@
         else:
             self.broadcasts.on_next(message)
 
-    def _remember(self, broadcast_id: str) -> bool:
-        if broadcast_id in self._seen_broadcasts:
-            return False
-        self._seen_broadcasts[broadcast_id] = None
-        if len(self._seen_broadcasts) > REMEMBERED_BROADCASTS:
-            self._seen_broadcasts.popitem(last=False)
-        return True
-
-    def _forward(self, broadcast: Broadcast) -> None:
-        now = self._clock()
-        table = self.table
-        own = table.own
-        domains = {own.failure_domain}
-        if table.is_relay(now) and broadcast.origin_domain == own.failure_domain:
-            domains = table.domains()
-        targets = {relay.peer_address for domain in domains for relay in table.relays(domain, now)}
-        if table.is_relay(now):
-            targets |= {
-                member.peer_address
-                for member in table.members
-                if member.failure_domain == own.failure_domain and member.state != MemberState.DEAD
-            }
-        for address in targets - {own.peer_address}:
-            self._spawn(self._push(address, broadcast))
-
-    async def _push(self, address: str, broadcast: Broadcast) -> None:
-        try:
-            await self._pool.notify(address, broadcast, CALL_TIMEOUT_S)
-        except PeerUnreachableError:
-            # The next heartbeat carries records and objects; other messages are hints.
-            return
-
 
 def _wall_ms() -> int:
     return int(time.time() * 1000)
--- a/papayalever/daemon.py
+++ b/papayalever/daemon.py
@@ -101,7 +101,7 @@
         )
         self._handlers: dict[type, Callable[[Any], Any]] = {
             Sync: self.gossip.handle_sync,
-            Broadcast: self.gossip.handle_broadcast,
+            Broadcast: self.gossip.spreader.handle,
             FetchBody: self.keeper.handle_fetch,
             Prepare: self.keeper.handle_prepare,
             PrepareDomain: self.committer.handle_prepare_domain,
