Take work off the paths of a hop and of a proxied request

Read along the path: a task and a shield for each use of an open link, fields read one by one, a future for each request that gets its place at once, a task for each try and for each part of an answer, and three writes for a short answer.

Change: open links are used directly, fields are read by attrgetter, the place is given without a future, the wait for an answer's head is a timer, and answers up to 64 KB of known length are read whole and sent in one write. A short answer that breaks off is now a 502, or another try if the request is idempotent, instead of a broken connection.

--- a/papayalever/cluster/codec.py
+++ b/papayalever/cluster/codec.py
@@ -1,6 +1,7 @@
 """CBOR encoding of messages: one tag for each class, fields in order."""
 
 from dataclasses import fields
+from operator import attrgetter
 from typing import Any
 
 import cbor2
@@ -37,7 +38,12 @@
 )
 TYPE_BY_TAG = {FIRST_TAG + index: kind for index, kind in enumerate(MESSAGE_TYPES)}
 TAG_BY_TYPE = {kind: tag for tag, kind in TYPE_BY_TAG.items()}
-FIELDS_BY_TYPE = {kind: tuple(item.name for item in fields(kind)) for kind in MESSAGE_TYPES}
+READ_BY_TYPE = {
+    kind: attrgetter(*(item.name for item in fields(kind)))
+    for kind in MESSAGE_TYPES
+    if len(fields(kind)) > 1
+}
+"""Values of a message's fields in order; messages of one field or none are read apart."""
 
 
 def encode(call_id: int, message: Any) -> bytes:
@@ -58,7 +64,8 @@
 
 def _encode_message(encoder: cbor2.CBOREncoder, message: Any) -> None:
     kind = type(message)
-    values = [getattr(message, name) for name in FIELDS_BY_TYPE[kind]]
+    read = READ_BY_TYPE.get(kind)
+    values = read(message) if read else [getattr(message, item.name) for item in fields(kind)]
     encoder.encode(cbor2.CBORTag(TAG_BY_TYPE[kind], values))
 
 
--- a/papayalever/cluster/links.py
+++ b/papayalever/cluster/links.py
@@ -116,10 +116,10 @@
 
     async def request(self, address: str, message: Any, timeout_s: float) -> Any:
         """Ask a peer; raises `PeerTimeoutError` or `PeerUnreachableError`."""
-        link = None
+        link = self._find_link(address)
         try:
             async with asyncio.timeout(timeout_s):
-                link = await self._open_link(address)
+                link = link or await self._open_link(address)
                 self.sent += 1
                 return await link.request(message)
         except TimeoutError as error:
@@ -132,7 +132,7 @@
         """Send without a reply; raises `PeerUnreachableError`."""
         try:
             async with asyncio.timeout(timeout_s):
-                link = await self._open_link(address)
+                link = self._find_link(address) or await self._open_link(address)
                 self.sent += 1
                 await link.notify(message)
         except TimeoutError as error:
@@ -154,6 +154,12 @@
             task.cancel()
         self._link_by_address.clear()
 
+    def _find_link(self, address: str) -> Link | None:
+        task = self._link_by_address.get(address)
+        if task is None or not _is_open(task) or task.result().is_closed:
+            return None
+        return task.result()
+
     async def _open_link(self, address: str) -> Link:
         task = self._link_by_address.get(address)
         if task is None or _is_spent(task):
--- a/papayalever/proxy/answers.py
+++ b/papayalever/proxy/answers.py
@@ -10,10 +10,15 @@
 from .headers import returned_headers
 
 STORED_BODY_BYTES = 16 * 1024
+SHORT_BODY_BYTES = 64 * 1024
 WRITE_IDLE_S = 30.0
 REPLAYED = "Idempotency-Replayed"
 
 
+class IncompleteAnswerError(Exception):
+    """A backend server broke its answer off; nothing of it was passed on."""
+
+
 class AnswerRecorder:
     """What the ledger will keep of a keyed request's answer."""
 
@@ -64,6 +69,9 @@
     ``deadline`` is event loop time. A keyed answer that fits the ledger is read before its caller
     can break it off.
     """
+    length = response.content_length
+    if recorder is None and length is not None and length <= SHORT_BODY_BYTES:
+        return await _read_short(response, deadline)
     answer = web.StreamResponse(status=response.status, headers=returned_headers(response.headers))
     is_whole = False
     try:
@@ -74,7 +82,8 @@
             if recorder:
                 await answer.write(recorder.head)
             async for part in response.content.iter_any():
-                await asyncio.wait_for(answer.write(part), WRITE_IDLE_S)
+                async with asyncio.timeout(WRITE_IDLE_S):
+                    await answer.write(part)
         is_whole = True
         if recorder:
             recorder.finish()
@@ -90,6 +99,18 @@
     return answer
 
 
+async def _read_short(response: aiohttp.ClientResponse, deadline: float) -> web.Response:
+    """Read a short answer whole; raises `IncompleteAnswerError` before the caller got any of it."""
+    try:
+        async with asyncio.timeout_at(deadline):
+            body = await response.read()
+    except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        response.close()
+        raise IncompleteAnswerError from error
+    headers = returned_headers(response.headers)
+    return web.Response(status=response.status, headers=headers, body=body)
+
+
 def replay(answer: StoredAnswer) -> web.Response:
     """The stored answer of the attempt that ran."""
     response = web.Response(status=answer.status, headers=answer.headers, body=answer.body)
--- a/papayalever/proxy/dispatch.py
+++ b/papayalever/proxy/dispatch.py
@@ -10,7 +10,7 @@
 from ..routing.backends import BackendState
 from ..routing.matching import RequestPolicy
 from ..routing.retries import TryFailure, TryState, is_budgeted, may_retry
-from .answers import AnswerRecorder, pass_on
+from .answers import AnswerRecorder, IncompleteAnswerError, pass_on
 from .bodies import RequestBody
 from .gate import Gate
 from .headers import (
@@ -113,11 +113,15 @@
             self._note_leaving(state)
         try:
             answer = await pass_on(self._request, response, recorder, self._answer_deadline)
+        except IncompleteAnswerError as error:
+            raise TryFailedError(TryFailure.LOST) from error
         finally:
             load = parse_load(response.headers.get(LOAD))
             shared.backends.note_answer(state, load, shared.clock())
             gate.limit.note_success(gate.waiting > 0)
-        shared.demand.note_answer(self._policy.service_name, self._request, answer.body_length)
+        length = response.content_length
+        length = answer.body_length if length is None else length
+        shared.demand.note_answer(self._policy.service_name, self._request, length)
         return answer
 
     def _build_try(self, backend: Backend) -> TryRequest:
--- a/papayalever/proxy/gate.py
+++ b/papayalever/proxy/gate.py
@@ -40,10 +40,13 @@
     async def enter(self, rank: str, deadline: float) -> Ticket:
         """Wait for a place until the deadline; raises `NotAdmittedError`."""
         ticket = Ticket(rank, deadline)
+        self._admission.capacity = self.limit.limit
+        outcome = self._admission.offer(ticket, self._clock())
+        if outcome.started == [ticket] and not outcome.refused:
+            return ticket
         future = asyncio.get_running_loop().create_future()
         self._future_by_ticket[ticket] = future
-        self._admission.capacity = self.limit.limit
-        self._settle(self._admission.offer(ticket, self._clock()))
+        self._settle(outcome)
         try:
             async with asyncio.timeout_at(deadline):
                 await future
--- a/papayalever/proxy/upstream.py
+++ b/papayalever/proxy/upstream.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import socket
-from collections.abc import Callable, Collection
+from collections.abc import Awaitable, Callable, Collection
 from contextlib import suppress
 from dataclasses import dataclass
 
@@ -110,15 +110,13 @@
         address = attempt.backend.address
         session = self._open_pool(address) if attempt.may_reuse else self._fresh
         connection = ConnectionTrace()
-        sending = asyncio.ensure_future(
-            session.request(
-                attempt.method,
-                f"http://{address}{attempt.path}",
-                headers=attempt.headers,
-                data=None if attempt.body.is_empty else _payload(attempt.body),
-                allow_redirects=False,
-                trace_request_ctx=connection,
-            )
+        sending = session.request(
+            attempt.method,
+            f"http://{address}{attempt.path}",
+            headers=attempt.headers,
+            data=None if attempt.body.is_empty else _payload(attempt.body),
+            allow_redirects=False,
+            trace_request_ctx=connection,
         )
         try:
             response = await _wait_head(sending, connection, attempt.time_left_s)
@@ -155,6 +153,7 @@
 
     is_reused: bool = False
     is_sent: bool = False
+    is_silent: bool = False
 
     def failure_to_connect(self) -> TryFailure:
         """`TryFailure.NOT_CONNECTED` only if the server can not have got any of the request."""
@@ -184,18 +183,27 @@
 
 
 async def _wait_head(
-    sending: asyncio.Future, connection: ConnectionTrace, time_left_s: float
+    sending: Awaitable[aiohttp.ClientResponse], connection: ConnectionTrace, time_left_s: float
 ) -> aiohttp.ClientResponse:
     """Wait for the answer's head; on a reused connection only for a share of the time."""
+    loop = asyncio.get_running_loop()
     try:
-        async with asyncio.timeout(time_left_s):
-            await asyncio.wait({sending}, timeout=time_left_s * SILENT_SHARE)
-            if not sending.done() and connection.is_reused:
-                raise SilentConnectionError
-            return await sending
-    finally:
-        if not sending.done():
-            sending.cancel()
+        async with asyncio.timeout(time_left_s) as scope:
+
+            def give_up_if_reused() -> None:
+                if connection.is_reused:
+                    connection.is_silent = True
+                    scope.reschedule(loop.time())
+
+            check = loop.call_later(time_left_s * SILENT_SHARE, give_up_if_reused)
+            try:
+                return await sending
+            finally:
+                check.cancel()
+    except TimeoutError:
+        if connection.is_silent:
+            raise SilentConnectionError from None
+        raise
 
 
 async def _note_reuse(session, context, params) -> None:
