Send configurations as deltas and read only what changed

Change: a body has three parts (text, settings, blocks), cut into chunks at content-defined ends; instances get the chunks that their held body lacks, and the whole body when they hold no base. Blocks that did not change are taken over. The digest is over the parts, not over their compression.

--- a/benchmarks/blocks.py
+++ b/benchmarks/blocks.py
@@ -5,8 +5,8 @@
 import time
 import tracemalloc
 
+from papayalever.config.bodies import digest_body, make_delta, pack, unpack
 from papayalever.config.loader import load_configuration
-from papayalever.config.versions import digest_body, pack, unpack
 from papayalever.lookup.blocks import BlockMap
 
 from .report import print_rows
@@ -44,8 +44,17 @@
     data = pack(text, configuration)
     digest = digest_body(data)
     began = time.process_time()
-    unpack(digest, data)
+    in_force = unpack(digest, data, None)
     json_s = time.process_time() - began
+    changed = text.replace("1.0.7.0/24, home: region-7", "1.0.7.0/24, home: region-8")
+    changed_data = pack(changed, load_configuration(changed))
+    delta = make_delta(data, changed_data)
+    began = time.process_time()
+    settings_only = text.replace("deadline_s: 3}", "deadline_s: 4}")
+    settings_data = pack(settings_only, load_configuration(settings_only))
+    began = time.process_time()
+    unpack(digest_body(settings_data), settings_data, in_force)
+    same_blocks_s = time.process_time() - began
     pairs = [(block.cidr, block.home) for block in configuration.caller_blocks]
     tracemalloc.start()
     began = time.process_time()
@@ -65,6 +74,8 @@
         f"{len(data) / 1e6:.2f}",
         f"{yaml_s:.2f}",
         f"{json_s:.2f}",
+        f"{same_blocks_s:.2f}",
+        f"{len(delta) / 1000:.1f}",
         f"{build_s:.2f}",
         f"{size / 1e6:.2f}",
         f"{find_us:.2f}",
@@ -73,7 +84,18 @@
 
 def main() -> None:
     """Print the table."""
-    titles = ["blocks", "file MB", "packed MB", "YAML s", "body s", "map s", "map MB", "find us"]
+    titles = [
+        "blocks",
+        "file MB",
+        "packed MB",
+        "YAML s",
+        "body s",
+        "same blocks s",
+        "delta KB",
+        "map s",
+        "map MB",
+        "find us",
+    ]
     print_rows(titles, [measure(size) for size in SIZES])
 
 
--- a/papayalever/cluster/messages.py
+++ b/papayalever/cluster/messages.py
@@ -114,10 +114,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Prepare:
-    """Hold a configuration so that it can be put in force without a fetch."""
+    """Hold a configuration so that it can be put in force without a fetch.
+
+    ``data`` is a delta against the body ``base_digest``, or the whole body if that is empty.
+    """
 
     base_version: int
     digest: str
+    base_digest: str
     data: bytes
 
 
@@ -127,6 +131,8 @@
 
     replica: str
     problem: str = ""
+    needs_whole: bool = False
+    """The receiver does not hold the base of the delta."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,6 +148,8 @@
 
     prepared: list[str]
     problems: dict[str, str]
+    needs_whole: bool = False
+    """The relay does not hold the base of the delta; it has asked nobody."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/papayalever/config/commit.py
+++ b/papayalever/config/commit.py
@@ -24,10 +24,11 @@
     StoreUnavailableError,
     put_surely,
 )
+from .bodies import digest_body, make_delta, pack
 from .exceptions import ConfigError
 from .keeper import ConfigKeeper
 from .loader import load_configuration
-from .versions import HEAD, HEAD_NAME, Applied, Head, digest_body, next_head, pack
+from .versions import HEAD, HEAD_NAME, Applied, Head, next_head
 
 CHUNK_BYTES = 900_000
 PREPARE_TIMEOUT_S = 3.0
@@ -91,13 +92,16 @@
         digest = digest_body(data)
         applied = Applied(base + 1, uuid.uuid4().hex, request.operator, now_ms)
         chunks = await self._write_chunks(digest, data)
-        await self._prepare(Prepare(base, digest, data), request.override_unreachable)
+        await self._prepare(self._build_prepare(base, digest, data), request.override_unreachable)
         await self._commit(next_head(head, digest, chunks, applied), store_version)
         return applied
 
     async def handle_prepare_domain(self, message: PrepareDomain) -> PreparedDomain:
         """As a relay: prepare every live instance of the own failure domain."""
         table = self._gossip.table
+        own = self._keeper.handle_prepare(message.prepare)
+        if own.needs_whole:
+            return PreparedDomain([], {}, needs_whole=True)
         members = [
             member
             for member in table.members
@@ -112,6 +116,15 @@
             problems={reply.replica: reply.problem for reply in replies if reply.problem},
         )
 
+    def _build_prepare(self, base: int, digest: str, data: bytes) -> Prepare:
+        """A delta against what is in force; the own instance holds the whole body already."""
+        state = self._keeper.state
+        state.hold(digest, data)
+        base_data = state.get_data(state.current.digest) if state.current else b""
+        if not base_data:
+            return Prepare(base, digest, "", data)
+        return Prepare(base, digest, state.current.digest, make_delta(base_data, data))
+
     async def _read_head(self) -> tuple[Head | None, int]:
         try:
             found = await self._store.get(SHARED_PREFIX + HEAD_NAME)
@@ -163,20 +176,34 @@
         now = asyncio.get_running_loop().time()
         for relay in table.relays(domain, now):
             try:
-                if relay.id == table.own_id:
-                    return await self.handle_prepare_domain(PrepareDomain(prepare))
-                return await self._pool.request(
-                    relay.peer_address, PrepareDomain(prepare), RELAY_TIMEOUT_S
-                )
+                reply = await self._ask_relay(relay, prepare)
+                if reply.needs_whole:
+                    reply = await self._ask_relay(relay, self._make_whole(prepare))
+                return reply
             except PeerUnreachableError:
                 continue
         return PreparedDomain([], {})
 
+    async def _ask_relay(self, relay: Member, prepare: Prepare) -> PreparedDomain:
+        if relay.id == self._gossip.table.own_id:
+            return await self.handle_prepare_domain(PrepareDomain(prepare))
+        message = PrepareDomain(prepare)
+        return await self._pool.request(relay.peer_address, message, RELAY_TIMEOUT_S)
+
+    def _make_whole(self, prepare: Prepare) -> Prepare:
+        """The same without a delta; the body is held here by now."""
+        data = self._keeper.state.get_data(prepare.digest)
+        return Prepare(prepare.base_version, prepare.digest, "", data)
+
     async def _prepare_member(self, member: Member, prepare: Prepare) -> Prepared:
         if member.id == self._gossip.table.own_id:
             return self._keeper.handle_prepare(prepare)
         try:
-            return await self._pool.request(member.peer_address, prepare, PREPARE_TIMEOUT_S)
+            reply = await self._pool.request(member.peer_address, prepare, PREPARE_TIMEOUT_S)
+            if reply.needs_whole:
+                whole = self._make_whole(prepare)
+                reply = await self._pool.request(member.peer_address, whole, PREPARE_TIMEOUT_S)
+            return reply
         except PeerUnreachableError:
             return Prepared(member.replica, UNREACHABLE)
 
--- a/papayalever/config/keeper.py
+++ b/papayalever/config/keeper.py
@@ -9,8 +9,9 @@
 from ..cluster.links import LinkPool
 from ..cluster.messages import Body, FetchBody, ObjectUpdate, Prepare, Prepared
 from ..store import StoreClient, StoreError
+from .bodies import MissingBaseError, digest_body
 from .exceptions import InvalidConfigError
-from .versions import HEAD, HEAD_NAME, ConfigState, digest_body
+from .versions import HEAD, HEAD_NAME, ConfigState
 
 FETCH_TIMEOUT_S = 3.0
 RETRY_S = 0.5
@@ -59,7 +60,9 @@
         if message.base_version < self.state.version:
             return Prepared(replica, f"version {self.state.version} is already in force")
         try:
-            self.state.prepare(message.digest, message.data)
+            self.state.prepare(message.digest, message.base_digest, message.data)
+        except MissingBaseError as error:
+            return Prepared(replica, str(error), needs_whole=True)
         except InvalidConfigError as error:
             return Prepared(replica, f"the file is not valid here: {error}")
         return Prepared(replica)
--- a/papayalever/config/versions.py
+++ b/papayalever/config/versions.py
@@ -1,16 +1,12 @@
 """Versions of the configuration: which one is in force on this instance."""
 
-import hashlib
-import zlib
 from collections import OrderedDict
 from dataclasses import dataclass, replace
 
-import cbor2
 from pydantic import TypeAdapter
 from reactivex.subject import BehaviorSubject
 
-from .exceptions import Fault, InvalidConfigError
-from .models import CONFIGURATION, Configuration
+from .bodies import InForce, MissingBaseError, apply_delta, unpack
 
 HEAD_NAME = "config"
 HELD_BODIES = 8
@@ -46,44 +42,6 @@
 HEAD = TypeAdapter(Head)
 
 
-@dataclass(frozen=True, slots=True)
-class InForce:
-    """A configuration that an instance obeys."""
-
-    version: int
-    digest: str
-    packed_text: bytes
-    configuration: Configuration
-
-    @property
-    def text(self) -> str:
-        """The operators' file as it was applied."""
-        return zlib.decompress(self.packed_text).decode()
-
-
-def pack(text: str, configuration: Configuration) -> bytes:
-    """Body of a configuration: the operators' text and its checked form, which reads faster."""
-    document = CONFIGURATION.dump_json(configuration)
-    return cbor2.dumps([zlib.compress(text.encode()), zlib.compress(document)])
-
-
-def digest_body(data: bytes) -> str:
-    """Digest that names a configuration's body."""
-    return hashlib.sha256(data).hexdigest()
-
-
-def unpack(digest: str, data: bytes) -> InForce:
-    """The configuration in a body, without a version; raises `InvalidConfigError`."""
-    if digest_body(data) != digest:
-        raise InvalidConfigError([Fault(1, "file", "the body does not match its digest")])
-    try:
-        packed_text, packed_document = cbor2.loads(data)
-        configuration = CONFIGURATION.validate_json(zlib.decompress(packed_document))
-    except (cbor2.CBORDecodeError, ValueError, zlib.error) as error:
-        raise InvalidConfigError([Fault(1, "file", str(error))]) from error
-    return InForce(0, digest, packed_text, configuration)
-
-
 def next_head(head: Head | None, digest: str, chunks: tuple[str, ...], applied: Applied) -> Head:
     """The head that follows ``head``."""
     history = (applied, *(head.history if head else ()))
@@ -120,10 +78,18 @@
         """Body by digest, empty if it is not held."""
         return self._data_by_digest.get(digest, b"")
 
-    def prepare(self, digest: str, data: bytes) -> None:
-        """Keep a body that is about to be applied; raises `InvalidConfigError`."""
+    def prepare(self, digest: str, base_digest: str, data: bytes) -> None:
+        """Keep a body that is about to be applied, whole or as a delta.
+
+        Raises `InvalidConfigError` or `MissingBaseError`.
+        """
+        if base_digest:
+            base = self.get_data(base_digest)
+            if not base:
+                raise MissingBaseError("the configuration before this one is not held")
+            data = self.get_data(digest) or apply_delta(base, data)
         if self._prepared is None or self._prepared.digest != digest:
-            self._prepared = unpack(digest, data)
+            self._prepared = unpack(digest, data, self.current)
         self.hold(digest, data)
 
     def hold(self, digest: str, data: bytes) -> None:
@@ -157,5 +123,5 @@
             None,
         )
         if parsed is None:
-            parsed = unpack(head.digest, data)
+            parsed = unpack(head.digest, data, self.current)
         self.in_force.on_next(replace(parsed, version=head.version))
--- a/papayalever/daemon.py
+++ b/papayalever/daemon.py
@@ -24,11 +24,11 @@
     Settle,
     Sync,
 )
+from .config.bodies import InForce
 from .config.commit import Committer
 from .config.keeper import ConfigKeeper
 from .config.models import Backend, Configuration, StopKind
 from .config.rules import planned_stops, region_by_domain, slots_by_region
-from .config.versions import InForce
 from .ledger.service import Ledger
 from .lookup.directory import Directory
 from .metrics import Metrics
--- a/papayalever/lookup/directory.py
+++ b/papayalever/lookup/directory.py
@@ -5,9 +5,9 @@
 
 from ..cluster.membership import MembershipTable
 from ..cluster.messages import Member
+from ..config.bodies import InForce
 from ..config.models import Configuration, StopKind
 from ..config.rules import planned_stops
-from ..config.versions import InForce
 from ..steering.plan import (
     Plan,
     Shares,
--- a/papayalever/proxy/callers.py
+++ b/papayalever/proxy/callers.py
@@ -6,7 +6,7 @@
 
 from aiohttp import web
 
-from ..config.versions import InForce
+from ..config.bodies import InForce
 from ..lookup.blocks import parse_address
 from ..lookup.directory import Directory, NoInstanceError, UnknownServiceError
 from ..metrics import Metrics
