Strengthen the tests that did not notice a mechanism taken out, and mend what that showed

Change: the tests above made stricter; the store client's hidden retry is off.

Two guards each keep an apply from going back, and hide each other.

--- a/papayalever/cluster/gossip.py
+++ b/papayalever/cluster/gossip.py
@@ -84,15 +84,19 @@
         `LEASE_S`. An instance that was paused finds its lease lapsed.
         """
         now = self._clock()
+        witnesses = self._witnesses()
+        if not witnesses:
+            return any(now - at < LEASE_S for at in self._answered_at.values())
+        return all(now - self._answered_at.get(item, -LEASE_S) < LEASE_S for item in witnesses)
+
+    def _witnesses(self) -> list[str]:
+        """Peer addresses of the other relays of the own failure domain."""
         table = self.table
-        witnesses = [
+        return [
             relay.peer_address
-            for relay in table.relays(table.own.failure_domain, now)
+            for relay in table.relays(table.own.failure_domain, self._clock())
             if relay.id != table.own_id
         ]
-        if not witnesses:
-            return any(now - at < LEASE_S for at in self._answered_at.values())
-        return all(now - self._answered_at.get(item, -LEASE_S) < LEASE_S for item in witnesses)
 
     async def run(self) -> None:
         """Exchange heartbeats until cancelled."""
@@ -242,10 +246,11 @@
     def _is_caller_of(self, member: Member) -> bool:
         """Whether this side of a pair calls; one call a second carries both sides' news.
 
-        In the own failure domain both call, because each needs the other as a witness.
+        Both call in the own failure domain, because each needs the other as a witness, and so does
+        an instance that has no witness there.
         """
         own = self.table.own
-        if member.failure_domain == own.failure_domain:
+        if member.failure_domain == own.failure_domain or not self._witnesses():
             return True
         is_swapped = hash_text("/".join(sorted((own.id, member.id)))) % 2 == 1
         return (own.id < member.id) != is_swapped
--- a/papayalever/store.py
+++ b/papayalever/store.py
@@ -139,6 +139,8 @@
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
             self._session = aiohttp.ClientSession()
+            # A write that the library repeats by itself would meet its own first try.
+            self._session._retry_connection = False
         return self._session
 
     def _count(self, kind: str) -> None:
--- a/tests/support/backend.py
+++ b/tests/support/backend.py
@@ -24,6 +24,7 @@
         self.slots = slots
         self.service_s = service_s
         self.running = 0
+        self.arrived = 0
         self.started = 0
         self.crashes = 0
         self.is_draining = False
@@ -61,6 +62,7 @@
         if request.transport in self._silent_transports:
             await asyncio.Event().wait()
         self._known_transports.add(request.transport)
+        self.arrived += 1
         headers = {
             "X-Request-Id": "someone-else" if self.lies_about_id else self._id(request),
             "X-Load": f"{self.running}/{self.slots}",
@@ -160,6 +162,7 @@
             name: {
                 "runs": server.runs,
                 "paths": server.paths,
+                "arrived": server.arrived,
                 "started": server.started,
                 "crashes": server.crashes,
             }
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -41,6 +41,7 @@
         for path in ("/urgent/1", "/normal?bytes=300000"):
             answer = await self.cluster.send("GET", path)
             self.assertNotEqual(200, answer.status)
+            self.assertNotIn("Timeout", str(answer.document))
         key = new_key()
         first = await self.cluster.send("POST", "/signoff", key=key, work=key)
         self.assertNotEqual(200, first.status)
--- a/tests/test_ledger_rules.py
+++ b/tests/test_ledger_rules.py
@@ -13,7 +13,7 @@
 
 from papayalever.cluster.messages import Claim, ClaimVerdict, Member, Replicate, Settle
 from papayalever.ledger.slots import RecordState, Role, Rules, Slot
-from papayalever.ledger.views import RegionViews, next_views
+from papayalever.ledger.views import RegionViews, View, next_views
 
 RULES = Rules(window_ms=1_000_000, skew_ms=0)
 KEYS = [f"key-{number}" for number in range(3)]
@@ -173,6 +173,18 @@
         returned = [self.replay_missed_view(companion) for companion in NODES]
         self.assertIn(True, returned)
 
+    def test_backup_that_knows_a_later_epoch_refuses_the_former_primary(self):
+        first = View(1, "p#1", "b#1", 0, 1, 1)
+        backup = Slot()
+        backup.adopt(first, "b#1", 0, RULES)
+        copy = Replicate("r", 0, 1, 0, [], resync=True, complete=True)
+        self.assertTrue(backup.accept(copy))
+        backup.adopt(first.follow("b#1", "c#1", 10), "b#1", 10, RULES)
+        self.assertFalse(backup.accept(copy))
+        again = View(3, "c#1", "b#1", 20, 2, 1)
+        backup.adopt(again, "b#1", 20, RULES)
+        self.assertFalse(backup.accept(copy))
+
     def replay_missed_view(self, companion: int) -> bool:
         """The first backup misses a view and comes back as primary; False if it does not."""
         machine = LedgerMachine()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -95,6 +95,12 @@
                     return
         self.fail("nobody declared the cut member dead")
 
+    async def test_instances_alone_in_their_domains_hold_leases(self):
+        names = self.add_domain("north", "a", 1) + self.add_domain("north", "b", 1)
+        await self.network.run(3)
+        for name in names:
+            self.assertTrue(self.network.by_address[name].holds_lease(), name)
+
     async def test_lost_domain_is_gone_when_the_platform_stops_listing_it(self):
         north = self.add_domain("north", "a", 2) + self.add_domain("north", "c", 2)
         self.add_domain("south", "b", 2)
--- a/tests/test_steering.py
+++ b/tests/test_steering.py
@@ -101,13 +101,13 @@
         self.assertIsNotNone(next_plan(Plan(), self.configuration, gather(demand), 100_000))
 
     def test_narrow_link_bounds_the_shift(self):
-        demand = ServiceDemand({"noord": 30.0}, {"noord": 1e9})
+        demand = ServiceDemand({"noord": 30.0}, {"noord": 4e9})
         evidence = gather({}, demand_by_service={SERVICE: demand})
         plan = self.run_plans(evidence, 20)[-1]
         moved = planned_shares(plan, self.configuration, SERVICE, "noord")
         link_bytes_s = 4_000 * 1e6 / 8
         for region in ("midden", "zuid"):
-            self.assertLessEqual(moved[region] * 1e9, link_bytes_s)
+            self.assertLessEqual(moved[region] * 4e9, link_bytes_s)
 
     def test_plan_already_says_what_to_do_when_a_region_is_lost(self):
         demand = {"noord": 8.0, "midden": 15.0, "zuid": 1.0}
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -33,10 +33,10 @@
             200, (await self.cluster.send("POST", "/signoff", other, key=key, work=key)).status
         )
         for backend in self.cluster.backends:
-            await self.cluster.control(backend["id"], service_s=0.8)
+            await self.cluster.control(backend["id"], service_s=2.2)
         works = [f"work-{number}" for number in range(6)]
         running = [
-            asyncio.create_task(self.cluster.send("GET", "/normal", leaving, work=work))
+            asyncio.create_task(self.cluster.send("GET", "/bulk/old", leaving, work=work))
             for work in works
         ]
         await self.cluster.wait_for(lambda: self.cluster.runs(works[0]))
@@ -68,12 +68,12 @@
         """A burst through every instance adds nothing to the server's work."""
 
         async def is_idle() -> bool:
-            before = (await self.cluster.report())[backend]["started"]
+            before = (await self.cluster.report())[backend]["arrived"]
             for instance in self.cluster.running():
                 await asyncio.gather(
                     *(self.cluster.send("GET", "/urgent/1", instance.id) for _ in range(10))
                 )
-            return (await self.cluster.report())[backend]["started"] == before
+            return (await self.cluster.report())[backend]["arrived"] == before
 
         await self.cluster.wait_for(is_idle)
 
