--- a/papayalever/cluster/gossip.py
+++ b/papayalever/cluster/gossip.py
@@ -58,6 +58,8 @@
         self.member_changes: Subject[list[Member]] = Subject()
         self.broadcasts: Subject[Any] = Subject()
         self.has_heard_peer = False
+        self.planner_id = ""
+        """The instance that makes the plans, as of the last round of heartbeats."""
         self._seeds = seeds
         self._pool = pool
         self._store = store
@@ -133,6 +135,7 @@
         now = self._clock()
         if self.table.is_relay(now):
             self._report_dead(self.table.sweep(now))
+        self.planner_id = self._find_planner(now)
         self.table.forget_dead(now)
         targets = self._targets(now)
         calls = [self._sync_with(address, member_id) for address, member_id in targets.items()]
@@ -150,11 +153,12 @@
         is_relay = table.is_relay(now)
         silent = sorted(table.silent_domains) if is_relay else []
         is_other_domain = sync.sender.failure_domain != table.own.failure_domain
-        if is_other_domain:
+        if sync.demand is not None and is_other_domain:
             domain = sync.sender.failure_domain
             self._demand_by_domain[domain] = DomainDemand(domain, _wall_ms(), sync.demand)
-        else:
+        elif sync.demand is not None:
             self._rows_by_member[sync.sender.id] = (now, sync.demand)
+        is_for_planner = sync.sender.id == self.planner_id and self._is_reporter(now)
         self._ask_if_behind(sync)
         known = sync.known_sequence
         return SyncReply(
@@ -163,7 +167,7 @@
             records=table.changes_since(known),
             updates=self.objects.newer_than(sync.versions),
             silent_domains=silent,
-            demand=self._own_domain_demand(now) if is_relay and is_other_domain else None,
+            demand=self._own_domain_demand(now) if is_for_planner and is_other_domain else None,
         )
 
     def _ask_if_behind(self, sync: Sync) -> None:
@@ -182,13 +186,13 @@
         if self.objects.offer(update):
             self.broadcast(update)
 
-    def all_relays(self) -> list[Member]:
-        """Relays of the failure domains that are heard, most senior first."""
-        now = self._clock()
+    def _find_planner(self, now: float) -> str:
+        """Id of the most senior relay of the failure domains that are heard."""
         table = self.table
         heard = table.domains() - table.silent_domains
-        relays = [relay for domain in heard for relay in table.relays(domain, now)]
-        return sorted(relays, key=lambda item: (item.incarnation, item.id))
+        relays = (relay for domain in heard for relay in table.relays(domain, now))
+        senior = min(relays, key=lambda item: (item.incarnation, item.id), default=None)
+        return senior.id if senior else ""
 
     def demands(self) -> dict[str, DomainDemand]:
         """As a relay: demand by failure domain."""
@@ -273,15 +277,8 @@
         told_incarnation, told = self._told_sequence.get(address, (0, 0))
         sequence = table.sequence
         records = table.changes_since(told if told_incarnation == incarnation else 0)
-        member = table.get(member_id)
-        is_other_domain = bool(member) and member.failure_domain != table.own.failure_domain
-        sync = Sync(
-            table.own,
-            merged,
-            records,
-            self.objects.versions(),
-            self._own_domain_demand(self._clock()).rows if is_other_domain else self.read_demand(),
-        )
+        demand = self._demand_for(table.get(member_id))
+        sync = Sync(table.own, merged, records, self.objects.versions(), demand)
         sent_at = self._clock()
         try:
             reply = await self._pool.request(address, sync, CALL_TIMEOUT_S)
@@ -295,6 +292,22 @@
         self._answered_at[address] = sent_at
         self._take_reply(address, member_id, reply, incarnation)
 
+    def _demand_for(self, member: Member | None) -> list | None:
+        """Demand to send along: every second, so only to those who use it."""
+        if member is None:
+            return None
+        if member.failure_domain == self.table.own.failure_domain:
+            return self.read_demand()
+        now = self._clock()
+        if member.id == self.planner_id and self._is_reporter(now):
+            return self._own_domain_demand(now).rows
+        return None
+
+    def _is_reporter(self, now: float) -> bool:
+        """Whether this instance reports the demand of its failure domain."""
+        relays = self.table.relays(self.table.own.failure_domain, now)
+        return bool(relays) and relays[0].id == self.table.own_id
+
     def _take_reply(self, address: str, member_id: str, reply: SyncReply, incarnation: int) -> None:
         now = self._clock()
         self.has_heard_peer = True
--- a/papayalever/cluster/messages.py
+++ b/papayalever/cluster/messages.py
@@ -65,8 +65,9 @@
     records: list[Member]
     versions: dict[str, int]
     """Version of each shared object that the sender holds."""
-    demand: list[tuple[str, str, float, float]] = field(default_factory=list)
-    """Rows as in `DomainDemand`: the sender's own, to another domain those of its domain."""
+    demand: list[tuple[str, str, float, float]] | None = None
+    """Rows as in `DomainDemand`: to the own domain the sender's, to the planner those of its
+    domain, to others none."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,7 +81,7 @@
     silent_domains: list[str]
     """Failure domains that the receiver has not heard from; empty unless it is a relay."""
     demand: DomainDemand | None = None
-    """Demand of the receiver's failure domain, between relays."""
+    """Demand of the receiver's failure domain, only for the planner."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/papayalever/config/models.py
+++ b/papayalever/config/models.py
@@ -135,7 +135,7 @@
     window_s: Annotated[float, Field(gt=0)] = 86_400.0
     clock_skew_s: Annotated[float, Field(ge=0, le=600)] = 10.0
     ranges_per_region: Annotated[int, Field(ge=1, le=1024)] = 16
-    max_records: PositiveInt = 200_000
+    max_records: PositiveInt = 100_000
     """Records that one instance holds at most, as primary and backup."""
 
 
--- a/papayalever/steering/service.py
+++ b/papayalever/steering/service.py
@@ -44,8 +44,7 @@
         Two may believe so at once: the conditional update lets one plan follow another, and the
         instances that obey hold the cap by their own clocks.
         """
-        relays = self._gossip.all_relays()
-        return bool(relays) and relays[0].id == self._gossip.table.own_id
+        return self._gossip.planner_id == self._gossip.table.own_id
 
     async def run(self) -> None:
         """Plan until cancelled."""
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -95,6 +95,19 @@
                     return
         self.fail("nobody declared the cut member dead")
 
+    async def test_the_planner_alone_learns_the_demand_of_every_domain(self):
+        names = [name for d in "abc" for name in self.add_domain("north", d, 3)]
+        for number, name in enumerate(names):
+            rows = [("shop", "north", float(number), 0.0)]
+            self.network.by_address[name].read_demand = lambda rows=rows: rows
+        await self.network.run(6)
+        planners = {self.network.by_address[name].planner_id for name in names}
+        self.assertEqual({"a-1"}, planners)
+        demands = self.network.by_address["a-1"].demands()
+        slots = {domain: item.rows[0][2] for domain, item in demands.items()}
+        self.assertEqual({"a": 0 + 1 + 2, "b": 3 + 4 + 5, "c": 6 + 7 + 8}, slots)
+        self.assertEqual({"b"}, set(self.network.by_address["b-1"].demands()))
+
     async def test_instances_alone_in_their_domains_hold_leases(self):
         names = self.add_domain("north", "a", 1) + self.add_domain("north", "b", 1)
         await self.network.run(3)
