Hold no more connections than a server gives to all instances

Cause: reading as a newcomer: connection_limit stood unused, each instance pooled up to 8 connections to a server, and the subset was reckoned with one; at 520 instances that is 4,160 connections to a server that gives 650. Today's 22 instances held at most 176. Also, slots were divided among the subset of servers, which differs from instance to instance at that size, so that the shares did not add up.

Change: each pool has the limit that the servers' connections give to the live instances; slots are divided over all servers of the region.

Measured: test_connections_stay_under_the_servers_limit_at_every_size, 1 to 700 instances, passes; with 8 connections each it would be 5,600 of 650 at 700. Routing, path and answers: 19 passed, 1 known red.

Conclusion: the arithmetic holds; no run with that many instances was made.

--- a/papayalever/daemon.py
+++ b/papayalever/daemon.py
@@ -39,7 +39,7 @@
 from .proxy.shared import Shared
 from .proxy.upstream import Upstream
 from .routing.admission import RankRule
-from .routing.backends import BackendTable, choose_subset, divide_slots
+from .routing.backends import BackendTable, choose_subset, connection_limit, divide_slots
 from .routing.quarantine import CrashLog
 from .routing.retries import RetryBudget
 from .settings import Settings
@@ -213,7 +213,6 @@
             backend for service in configuration.services.values() for backend in service.backends
         ]
         self.shared.backends.set_backends(backends)
-        self.shared.upstream.retain([backend.address for backend in backends])
         rules = {
             name: RankRule(rank.order, rank.floor) for name, rank in configuration.ranks.items()
         }
@@ -238,18 +237,26 @@
         live = self.gossip.table.live()
         local = [member.id for member in live if member.region == own.region]
         own_slots: dict[str, int] = {}
+        limits: dict[str, int] = {}
         region_of = region_by_domain(configuration)
         latency = latency_by_region(configuration, own.region)
         for name, service in configuration.services.items():
             groups: dict[str, list[Backend]] = {}
             for backend in choose_subset(service.backends, own.id, len(live)):
                 groups.setdefault(region_of[backend.failure_domain], []).append(backend)
+                limits[backend.address] = connection_limit(backend, len(live))
             ordered = sorted(groups, key=lambda region: latency.get(region, float("inf")))
             self.shared.backends_by_service[name] = [groups[region] for region in ordered]
             slots = slots_by_region(configuration, name).get(own.region, 0.0)
             self.shared.gate_by_service[name].limit.set_share(slots, len(local))
-            own_slots |= divide_slots(groups.get(own.region, []), own.id, local)
+            nearby = [
+                backend
+                for backend in service.backends
+                if region_of[backend.failure_domain] == own.region
+            ]
+            own_slots |= divide_slots(nearby, own.id, local)
         self.shared.backends.set_own_slots(own_slots)
+        self.shared.upstream.set_limits(limits)
 
     def _take_object(self, update: ObjectUpdate) -> None:
         if update.name == PLAN_NAME:
--- a/papayalever/proxy/upstream.py
+++ b/papayalever/proxy/upstream.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import socket
-from collections.abc import Awaitable, Callable, Collection
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import dataclass
 
@@ -18,7 +18,6 @@
 CONNECT_TIMEOUT_S = 0.5
 PROBE_TIMEOUT_S = 0.5
 IDLE_CONNECTION_S = 15.0
-CONNECTIONS_PER_BACKEND = 8
 RETIRED_POOL_S = 60.0
 SILENT_SHARE = 1 / 3
 """Share of the time left after which a reused connection counts as silent."""
@@ -56,6 +55,7 @@
 
     def __init__(self) -> None:
         self._pool_by_address: dict[str, aiohttp.ClientSession] = {}
+        self._limit_by_address: dict[str, int] = {}
         self._retired: list[aiohttp.ClientSession] = []
         self._fresh: aiohttp.ClientSession | None = None
         self.renewed_pools = 0
@@ -72,16 +72,18 @@
         for session in sessions:
             await session.close()
 
-    def retain(self, addresses: Collection[str]) -> None:
-        """Give up the connections to servers that the configuration no longer names."""
-        for address in set(self._pool_by_address) - set(addresses):
-            self._retire(address)
+    def set_limits(self, limit_by_address: dict[str, int]) -> None:
+        """Use other limits of connections; servers that are not named get none any more."""
+        for address in list(self._pool_by_address):
+            if limit_by_address.get(address) != self._limit_by_address.get(address):
+                self._retire(address)
+        self._limit_by_address = limit_by_address
 
     def _open_pool(self, address: str) -> aiohttp.ClientSession:
         if address not in self._pool_by_address:
             self._pool_by_address[address] = _open_session(
                 aiohttp.TCPConnector(
-                    limit=CONNECTIONS_PER_BACKEND,
+                    limit=self._limit_by_address.get(address, 1),
                     keepalive_timeout=IDLE_CONNECTION_S,
                     socket_factory=_keepalive_socket,
                 )
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -9,7 +9,12 @@
 
 from papayalever.config.models import Backend
 from papayalever.routing.admission import Admission, RankRule, Refusal, Ticket
-from papayalever.routing.backends import BackendTable, choose_subset, divide_slots
+from papayalever.routing.backends import (
+    BackendTable,
+    choose_subset,
+    connection_limit,
+    divide_slots,
+)
 from papayalever.routing.retries import (
     MAX_TRIES,
     RetryBudget,
@@ -115,9 +120,17 @@
         users = Counter(
             item.id for n in range(700) for item in choose_subset(backends, f"i{n}", 700)
         )
-        self.assertLess(max(users.values()), 650)
+        self.assertLess(max(users.values()) * connection_limit(backends[0], 700), 650)
         self.assertGreater(min(users.values()), 400)
 
+    def test_connections_stay_under_the_servers_limit_at_every_size(self):
+        for instances in (1, 6, 22, 84, 200, 350, 520, 700):
+            for backend in make_backends(3, slots=4, connections=650):
+                users = sum(
+                    bool(choose_subset([backend], f"i{n}", instances)) for n in range(instances)
+                )
+                self.assertLess(users * connection_limit(backend, instances), 650, instances)
+
 
 class TestRetries(unittest.TestCase):
     def test_only_certain_or_idempotent_failures_are_tried_again(self):
