--- a/papayalever/daemon.py
+++ b/papayalever/daemon.py
@@ -27,24 +27,22 @@
 from .config.bodies import InForce
 from .config.commit import Committer
 from .config.keeper import ConfigKeeper
-from .config.models import Backend, Configuration, StopKind
-from .config.rules import planned_stops, region_by_domain, slots_by_region
+from .config.models import Configuration, StopKind
+from .config.rules import planned_stops
 from .ledger.service import Ledger
 from .lookup.directory import Directory
 from .metrics import Metrics
 from .proxy.callers import CallerListener
 from .proxy.claims import Claims
-from .proxy.gate import Gate
 from .proxy.operators import OperatorListener
 from .proxy.shared import Shared
+from .proxy.sharing import share_capacity, use_configuration
 from .proxy.upstream import Upstream
-from .routing.admission import RankRule
-from .routing.backends import BackendTable, choose_subset, connection_limit, divide_slots
+from .routing.backends import BackendTable
 from .routing.quarantine import CrashLog
-from .routing.retries import RetryBudget
 from .settings import Settings
 from .steering.demand import DemandMeter
-from .steering.plan import PLAN_NAME, latency_by_region
+from .steering.plan import PLAN_NAME
 from .steering.service import Steering
 from .store import StoreClient, StoreError
 
@@ -209,18 +207,7 @@
             return
         configuration = in_force.configuration
         self.ledger.state.set_options(configuration.ledger)
-        backends = [
-            backend for service in configuration.services.values() for backend in service.backends
-        ]
-        self.shared.backends.set_backends(backends)
-        rules = {
-            name: RankRule(rank.order, rank.floor) for name, rank in configuration.ranks.items()
-        }
-        for name in configuration.services:
-            gate = self.shared.gate_by_service.get(name)
-            if gate is None or gate.rules != rules:
-                self.shared.gate_by_service[name] = Gate(rules, time.monotonic)
-            self.shared.budget_by_service.setdefault(name, RetryBudget())
+        use_configuration(self.shared, configuration)
         self._share_capacity(configuration)
         self.directory.set_configuration(in_force)
         self._callers.set_configuration(in_force)
@@ -232,31 +219,8 @@
             self._share_capacity(current.configuration)
 
     def _share_capacity(self, configuration: Configuration) -> None:
-        """Divide slots and connections among the live instances."""
-        own = self.gossip.table.own
-        live = self.gossip.table.live()
-        local = [member.id for member in live if member.region == own.region]
-        own_slots: dict[str, int] = {}
-        limits: dict[str, int] = {}
-        region_of = region_by_domain(configuration)
-        latency = latency_by_region(configuration, own.region)
-        for name, service in configuration.services.items():
-            groups: dict[str, list[Backend]] = {}
-            for backend in choose_subset(service.backends, own.id, len(live)):
-                groups.setdefault(region_of[backend.failure_domain], []).append(backend)
-                limits[backend.address] = connection_limit(backend, len(live))
-            ordered = sorted(groups, key=lambda region: latency.get(region, float("inf")))
-            self.shared.backends_by_service[name] = [groups[region] for region in ordered]
-            slots = slots_by_region(configuration, name).get(own.region, 0.0)
-            self.shared.gate_by_service[name].limit.set_share(slots, len(local))
-            nearby = [
-                backend
-                for backend in service.backends
-                if region_of[backend.failure_domain] == own.region
-            ]
-            own_slots |= divide_slots(nearby, own.id, local)
-        self.shared.backends.set_own_slots(own_slots)
-        self.shared.upstream.set_limits(limits)
+        table = self.gossip.table
+        share_capacity(self.shared, configuration, table.own, table.live())
 
     def _take_object(self, update: ObjectUpdate) -> None:
         if update.name == PLAN_NAME:
