Serve the platform's callers through an entry instance on small machines

Cause: papayalever did not run on the users' platform at all. Ruled out: the present daemon behind an adapter. Its listener works on one request of a connection at a time while callers pipeline, importing it takes 1.1 s and 57 MB, and prepare, ledger and caller blocks have no counterpart on the platform. Change: papayalever/platform decodes settings, headers and stored objects; papayalever/entry carries requests over httptools and follows the store by list and watch; decisions (routes, server table, placement by object, waiting line, repeat budget) are pure modules in papayalever/routing.

--- /dev/null
+++ b/papayalever/entry/exchange.py
@@ -0,0 +1,247 @@
+"""One request of a caller, from its head to its answer."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+import logbook
+
+from ..routing.placement import Claim
+from ..routing.routes import RouteRule
+from ..routing.servers import Server
+from ..routing.waiting import Ticket
+from .connection import SendError, SendFailure
+from .line import Line
+from .messages import Answer, AnswerKind, CallerRequest, RequestMeta, ServerAnswer
+from .shared import Shared, now
+
+HOP_HEADERS = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    )
+)
+PROMISES = frozenset((408, 421, 429, 503))
+"""Statuses that tell a caller that its request has not run."""
+DEFAULT_DEADLINE_S = 10.0
+"""For callers that state none."""
+MAX_CONNECTS = 4
+"""Servers that one request tries to reach; nothing was sent to those that can not be reached."""
+WAIT_SHARE = 0.5
+"""Part of the aim that a request waits here for a server."""
+RETURN_S = 0.15
+"""When a caller that was turned away may come back: a warm run frees a slot by then."""
+MIN_LEFT_S = 0.02
+"""Less time than this is not worth a send."""
+
+log = logbook.Logger("request")
+
+
+@dataclass(slots=True)
+class Story:
+    """What happened to a request, for its log line."""
+
+    servers: list[str] = field(default_factory=list)
+    failures: list[str] = field(default_factory=list)
+    may_have_run: bool = False
+    waited_s: float = 0.0
+
+
+class Exchange:
+    """Carries one request; created for each."""
+
+    def __init__(
+        self,
+        shared: Shared,
+        line: Line,
+        request: CallerRequest,
+        meta: RequestMeta,
+        route: RouteRule,
+    ) -> None:
+        self._shared = shared
+        self._line = line
+        self._request = request
+        self._meta = meta
+        self._route = route
+        self._service = shared.splitter.choose(route)
+        deadline_s = meta.deadline_s or DEFAULT_DEADLINE_S
+        self._give_up_at = request.arrived_at + min(deadline_s, route.timeout_s)
+        self._avoid: set[str] = set()
+        self._connects = 0
+        self._sends = 0
+        self.story = Story()
+
+    async def run(self) -> Answer:
+        """The answer for the caller; never raises but for cancellation."""
+        self._shared.budget(self._service).note_request(now())
+        try:
+            async with asyncio.timeout_at(self._give_up_at):
+                return await self._try_servers()
+        except TimeoutError:
+            return self._give_up("out of time")
+
+    async def _try_servers(self) -> Answer:
+        while True:
+            server = await self._find_server()
+            if server is None:
+                return self._give_up("no server has room")
+            outcome = await self._try(server)
+            if isinstance(outcome, Answer):
+                return outcome
+            self.story.failures.append(outcome)
+            self._avoid.add(server.id)
+            if not self._may_try_again(outcome):
+                return self._give_up(outcome)
+
+    async def _find_server(self) -> Server | None:
+        started = now()
+        wait_s = self._route.aim_s * WAIT_SHARE
+        claim = Claim(self._service, self._object_key(), self._route.regions)
+        ticket = Ticket(
+            claim,
+            self._route.rank,
+            aim_at=self._request.arrived_at + self._route.aim_s,
+            leave_at=min(started + wait_s, self._give_up_at),
+            avoid=self._avoid,
+        )
+        server = await self._line.wait(ticket)
+        self.story.waited_s += now() - started
+        return server
+
+    def _object_key(self) -> str:
+        if self._route.has_affinity and self._meta.object_key:
+            return self._meta.object_key.decode("latin-1")
+        # Without an object any server is as good: spread by the request itself.
+        return (self._meta.request_id or b"").decode("latin-1")
+
+    async def _try(self, server: Server) -> Answer | str:
+        """One send: the answer for the caller, or why there is none."""
+        shared = self._shared
+        self.story.servers.append(server.id)
+        try:
+            answer = await self._send(server)
+        except SendError as error:
+            return self._note_failed(server, error)
+        finally:
+            shared.servers.note_end(server)
+            self._line.note_room()
+        kind = shared.dialect.read_answer(answer)
+        if answer.load:
+            shared.servers.note_load(server, answer.load.running, answer.load.waiting, now())
+        return self._judge(server, answer, kind)
+
+    async def _send(self, server: Server) -> ServerAnswer:
+        shared = self._shared
+        # The line has counted the send already, so that no other request takes the same place.
+        entry = server.entry
+        connection = await shared.pool.acquire(entry, not self._route.is_idempotent)
+        had_run = self.story.may_have_run
+        self.story.may_have_run = True
+        self._sends += 1
+        try:
+            answer = await connection.send(
+                self._encode(entry.id), self._belongs, self._request.method == b"HEAD"
+            )
+        except SendError as error:
+            if error.failure == SendFailure.NOT_CONNECTED:
+                self.story.may_have_run = had_run
+                self._sends -= 1
+            raise
+        kind = shared.dialect.read_answer(answer)
+        if kind in (AnswerKind.NOT_RUN, AnswerKind.OTHER_SERVER):
+            self.story.may_have_run = had_run
+        shared.pool.release(entry, connection)
+        return answer
+
+    def _belongs(self, answer: ServerAnswer) -> bool:
+        self._shared.dialect.read_answer(answer)
+        return answer.request_id is None or answer.request_id == self._meta.request_id
+
+    def _judge(self, server: Server, answer: ServerAnswer, kind: AnswerKind) -> Answer | str:
+        servers = self._shared.servers
+        if kind == AnswerKind.OTHER_SERVER:
+            servers.note_failure(server, now())
+            return "another server has the address"
+        if kind == AnswerKind.NOT_RUN and answer.status in PROMISES:
+            servers.note_full(server, now())
+            return "server refused"
+        if kind == AnswerKind.UNSEALED and (answer.status < 400 or answer.status in PROMISES):
+            return "answer without signature"
+        if answer.status in PROMISES and kind == AnswerKind.SEALED:
+            return "refusal that does not say that nothing ran"
+        servers.note_success(server)
+        if answer.status >= 500 and self._can_repeat():
+            return "server error"
+        return Answer(answer.status, _returned(answer.headers), answer.body)
+
+    def _can_repeat(self) -> bool:
+        """Whether another server may run the request too, with time for it left."""
+        has_time = self._give_up_at - now() > self._route.aim_s * WAIT_SHARE
+        is_allowed = self._route.is_idempotent and self._sends < self._route.max_servers
+        return is_allowed and has_time and self._shared.budget(self._service).left(now()) >= 1
+
+    def _note_failed(self, server: Server, error: SendError) -> str:
+        servers = self._shared.servers
+        if error.failure == SendFailure.NOT_CONNECTED:
+            self._connects += 1
+            servers.note_failure(server, now())
+        elif server.failures:
+            servers.note_failure(server, now())
+        else:
+            # One lost answer is no evidence against a server; a crash shows at the next connect.
+            server.failures = 1
+        return str(error)
+
+    def _may_try_again(self, outcome: str) -> bool:
+        if self._give_up_at - now() < MIN_LEFT_S or self._connects >= MAX_CONNECTS:
+            return False
+        if self.story.may_have_run and not self._route.is_idempotent:
+            return False
+        if self._sends >= self._route.max_servers:
+            return False
+        return not self._sends or self._shared.budget(self._service).take(now())
+
+    def _give_up(self, reason: str) -> Answer:
+        """The final answer of a request that no server answered."""
+        self._shared.counters[f"given_up/{reason}"] += 1
+        if not self.story.may_have_run:
+            return refuse(self._shared, reason, RETURN_S)
+        status = 504 if reason == "out of time" else 502
+        return Answer(status, [(b"Content-Type", b"text/plain")], b"no answer\n", reason)
+
+    def _encode(self, server_id: str) -> bytes:
+        request, dialect = self._request, self._shared.dialect
+        dropped = HOP_HEADERS | dialect.own_headers | _named_by_connection(request.headers)
+        headers = [item for item in request.headers if item[0] not in dropped]
+        headers += dialect.forward_headers(server_id, self._give_up_at - now())
+        if request.body or request.method not in (b"GET", b"HEAD"):
+            headers.append((b"Content-Length", b"%d" % len(request.body)))
+        lines = [b"%s %s HTTP/1.1" % (request.method, request.target)]
+        lines += [name + b": " + value for name, value in headers]
+        return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
+
+
+def refuse(shared: Shared, reason: str, return_s: float) -> Answer:
+    """A refusal of a request that has not run, and when to come back."""
+    headers = [(b"Content-Type", b"text/plain"), shared.dialect.retry_after(return_s)]
+    return Answer(503, headers, f"not run: {reason}\n".encode(), reason)
+
+
+def _returned(headers: list[tuple[bytes, bytes]]) -> list[tuple[bytes, bytes]]:
+    dropped = HOP_HEADERS | _named_by_connection(headers)
+    return [item for item in headers if item[0] not in dropped]
+
+
+def _named_by_connection(headers: list[tuple[bytes, bytes]]) -> frozenset[bytes]:
+    return frozenset(
+        token.strip().lower()
+        for name, value in headers
+        if name == b"connection"
+        for token in value.split(b",")
+    )
--- /dev/null
+++ b/papayalever/entry/shared.py
@@ -0,0 +1,67 @@
+"""What the requests of one entry instance share."""
+
+import asyncio
+import hashlib
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ..routing.budget import RepeatBudget
+from ..routing.routes import PartSplitter, RouteTable
+from ..routing.servers import ServerTable
+from .messages import AnswerKind, RequestMeta, ServerAnswer
+from .pool import Pool
+from .settings import Bounds
+
+
+@dataclass(frozen=True, slots=True)
+class Dialect:
+    """Functions of the adapter that read and write what the platform calls its own way."""
+
+    read_request: Callable[[list[tuple[bytes, bytes]]], RequestMeta]
+    read_answer: Callable[[ServerAnswer], AnswerKind]
+    forward_headers: Callable[[str, float], list[tuple[bytes, bytes]]]
+    retry_after: Callable[[float], tuple[bytes, bytes]]
+    own_headers: frozenset[bytes]
+    """Headers that callers can not pass through."""
+
+
+@dataclass(slots=True)
+class Shared:
+    """State that all requests of the instance use."""
+
+    dialect: Dialect
+    bounds: Bounds
+    routes: RouteTable
+    servers: ServerTable
+    splitter: PartSplitter
+    pool: Pool
+    counters: Counter = field(default_factory=Counter)
+    budget_by_service: dict[str, RepeatBudget] = field(default_factory=dict)
+    instances: int = 24
+    """Entry instances that share budgets; the most one of today's deployments has."""
+
+    def budget(self, service: str) -> RepeatBudget:
+        """The service's budget of repeated sends."""
+        if service not in self.budget_by_service:
+            bounds = self.bounds
+            self.budget_by_service[service] = RepeatBudget(
+                bounds.repeat_share, bounds.repeat_extra, bounds.repeat_window_s
+            )
+        budget = self.budget_by_service[service]
+        budget.instances = self.instances
+        return budget
+
+
+def now() -> float:
+    """Monotonic seconds, the clock of the event loop."""
+    return asyncio.get_running_loop().time()
+
+
+def digest_request(host: str, method: bytes, target: bytes, body: bytes) -> str:
+    """Digest of what a server would run."""
+    hashed = hashlib.blake2b(digest_size=12)
+    for part in (host.encode(), method, target, body):
+        hashed.update(len(part).to_bytes(8, "big"))
+        hashed.update(part)
+    return hashed.hexdigest()
--- /dev/null
+++ b/papayalever/platform/boot.py
@@ -0,0 +1,92 @@
+"""Settings of a process as the platform writes them: lines of ``a.b=value``."""
+
+from collections.abc import Mapping
+from pathlib import Path
+
+import msgspec
+
+from ..entry.settings import Bounds, EntrySettings
+
+VARIABLE = "PAPAYALEVER_BOOT"
+DEFAULT_PATH = "/etc/papayalever/settings.conf"
+
+
+class BootError(Exception):
+    """The settings file can not be used; the text names the field."""
+
+
+def load_boot(variables: Mapping[str, str]) -> EntrySettings:
+    """Read the settings file that the environment names; raises `BootError`."""
+    path = Path(variables.get(VARIABLE, DEFAULT_PATH))
+    try:
+        text = path.read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        raise BootError(f"settings file {str(path)!r} can not be read: {error}") from error
+    return parse_boot(text)
+
+
+def parse_boot(text: str) -> EntrySettings:
+    """Decode the text of a settings file; unknown fields are ignored."""
+    value_by_name = _read_lines(text)
+    region_by_domain = {
+        name.removeprefix("zones."): value
+        for name, value in value_by_name.items()
+        if name.startswith("zones.")
+    }
+    bounds = dict(
+        item.split("=", 1) for item in value_by_name.get("bounds", "").split(",") if "=" in item
+    )
+    document = {
+        "instance": _need(value_by_name, "node_name"),
+        "ip": _need(value_by_name, "ip"),
+        "failure_domain": _need(value_by_name, "zone"),
+        "region": _need(value_by_name, "region"),
+        "region_by_domain": region_by_domain,
+        "caller_listener": _need(value_by_name, "listen.front"),
+        "ready_listener": _need(value_by_name, "listen.ready"),
+        "directory_listener": value_by_name.get("listen.directory"),
+        "internal_port": int(_need(value_by_name, "internal_ports").split(",")[0]),
+        "store": _need(value_by_name, "provider.address"),
+        "memory_mb": value_by_name.get("limits.memory_mb", "222"),
+        "link_mbit_s": value_by_name.get("limits.link_mbps", "100"),
+        "cpu_share": value_by_name.get("limits.cpu_share", "1"),
+        "bounds": _read_bounds(bounds),
+    }
+    try:
+        return msgspec.convert(document, EntrySettings, strict=False)
+    except msgspec.ValidationError as error:
+        raise BootError(f"settings file: {error}") from error
+
+
+def _read_lines(text: str) -> dict[str, str]:
+    pairs = (line.split("=", 1) for line in text.splitlines() if "=" in line)
+    return {name.strip(): value.strip() for name, value in pairs}
+
+
+def _need(value_by_name: Mapping[str, str], name: str) -> str:
+    if not value_by_name.get(name):
+        raise BootError(f"settings file: field {name!r} is missing")
+    return value_by_name[name]
+
+
+def _read_bounds(text_by_name: Mapping[str, str]) -> Bounds:
+    def seconds(name: str, default_ms: float) -> float:
+        return float(text_by_name.get(name, default_ms)) / 1000
+
+    def number(name: str, default: float) -> float:
+        return float(text_by_name.get(name, default))
+
+    return Bounds(
+        contact_s=seconds("contact_ms", 4000),
+        drain_s=seconds("drain_ms", 2500),
+        config_s=seconds("config_ms", 2500),
+        stop_s=number("grace_s", 6),
+        reuse_after_s=number("reuse_after_s", 2),
+        repeat_share=number("retry_budget_ratio", 0.2),
+        repeat_window_s=number("budget_window_s", 10),
+        repeat_extra=number("retry_budget_extra", 100),
+        cold_factor=number("cold_over", 1.5),
+        cold_extra=number("cold_slack", 5),
+        max_answer_life_s=number("ttl_max_s", 5),
+        max_shift=number("shift_most", 0.15),
+    )
