Let one instance of each failure domain read the store for the others

Ruled out: stale reads (up to 3 s behind, over the bounds of 2 s). Change: instances register once in the store; the most senior of a domain follows the store and the others follow it over the links that exist (WebSocket, CBOR); a relay that does not answer within 1.1 s is left for one of another domain in the region, or for the store itself. Cold servers get work from as many instances as they withstand requests a second.

--- a/papayalever/cluster/codec.py
+++ b/papayalever/cluster/codec.py
@@ -35,6 +35,9 @@
     messages.CrashNotice,
     messages.Done,
     messages.DomainDemand,
+    messages.KindNews,
+    messages.Follow,
+    messages.FollowReply,
 )
 TYPE_BY_TAG = {FIRST_TAG + index: kind for index, kind in enumerate(MESSAGE_TYPES)}
 TAG_BY_TYPE = {kind: tag for tag, kind in TYPE_BY_TAG.items()}
--- a/papayalever/cluster/messages.py
+++ b/papayalever/cluster/messages.py
@@ -286,3 +286,36 @@
 @dataclass(frozen=True, slots=True)
 class Done:
     """Empty acknowledgement."""
+
+
+@dataclass(frozen=True, slots=True)
+class KindNews:
+    """What changed in one kind of stored objects; values are the objects' own bytes."""
+
+    kind: str
+    revision: int
+    """Revision of the store that the receiver then holds."""
+    is_whole: bool
+    """Whether ``changes`` lists all objects, not only what changed."""
+    changes: list[tuple[str, bytes | None]]
+    """Name and value; None for an object that is gone."""
+    is_after_outage: bool = False
+    """Whether the store had been away, so that missing objects may come back."""
+
+
+@dataclass(frozen=True, slots=True)
+class Follow:
+    """An instance asks another for news of the store, and says that it lives."""
+
+    instance: str
+    revision_by_kind: dict[str, int]
+    wait_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class FollowReply:
+    """News since the revisions asked for; empty when the wait is over."""
+
+    is_current: bool
+    """Whether the sender itself hears the store or one that does."""
+    news: list[KindNews]
--- a/papayalever/entry/feed.py
+++ b/papayalever/entry/feed.py
@@ -1,19 +1,24 @@
-"""Keeps a copy of one kind of stored objects: list once, then watch, list again when needed."""
+"""Follows one kind of stored objects at the store: list once, then watch, list again if needed."""
 
 import asyncio
-from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 from typing import Protocol
 
 import logbook
 
+from ..cluster.messages import KindNews
+from .copy import StoreCopy
+
 WAIT_S = 25.0
 """Below the 30 s that the store allows; a silent connection is noticed by keep-alive before."""
 FIRST_PAUSE_S = 0.1
 MAX_PAUSE_S = 0.4
 """Pause after failures: with the grace for lapsed entries it stays under the 3 s after which
 bounds hold again."""
+GATHER_S = 0.25
+"""Pause behind a change: changes come in series, and each call is counted and priced. An eighth of
+the shortest bound (2 s)."""
 OUTAGE_S = 1.0
 """Failures for so long make the next list one after an outage."""
 
@@ -28,19 +33,11 @@
     """The store does not remember the revision any more: list again."""
 
 
-@dataclass(frozen=True, slots=True)
-class Change:
-    """One object; ``value`` is None if it was deleted."""
-
-    name: str
-    value: bytes | None
-
-
 @dataclass(frozen=True, slots=True)
 class Snapshot:
     """Objects or changes and the store's revision that they are from."""
 
-    changes: list[Change]
+    changes: list[tuple[str, bytes | None]]
     revision: int
 
 
@@ -54,69 +51,84 @@
         """Changes after a revision."""
 
 
-@dataclass(frozen=True, slots=True)
-class Taker:
-    """Who takes over what a feed reads."""
+@dataclass(slots=True)
+class StoreHealth:
+    """What the feeds of one instance know together of the store; while it fails, one asks."""
+
+    failing_since: float | None = None
+    pause_s: float = FIRST_PAUSE_S
+    turn: asyncio.Lock = field(default_factory=asyncio.Lock)
 
-    take_list: Callable[[list[Change], bool], None]
-    """All objects; whether the store was away before."""
-    take_changes: Callable[[list[Change], bool], None]
+    def note_failure(self, kind: str, error: Exception, now: float) -> None:
+        """Count a failure and lengthen the pause."""
+        if self.failing_since is None:
+            self.failing_since = now
+            log.warning("store lost", kind=kind, error=str(error))
+        self.pause_s = min(MAX_PAUSE_S, self.pause_s * 2)
+
+    def note_success(self, kind: str, now: float) -> None:
+        """Count an answer."""
+        if self.failing_since is not None:
+            log.info("store regained", kind=kind, away_s=round(now - self.failing_since, 3))
+        self.failing_since = None
+        self.pause_s = FIRST_PAUSE_S
 
 
 class Feed:
-    """The copy of one kind; knows how old it is."""
+    """Keeps one kind of a copy current."""
 
-    def __init__(self, kind: str, source: Source, taker: Taker, rng: Random) -> None:
+    def __init__(
+        self, kind: str, source: Source, copy: StoreCopy, health: StoreHealth, rng: Random
+    ) -> None:
         self.kind = kind
-        self.heard_at: float | None = None
-        """Monotonic seconds of the store's last word."""
+        self.is_connected = False
+        """Whether the last call succeeded."""
         self._source = source
-        self._taker = taker
+        self._copy = copy
+        self._health = health
         self._rng = rng
-        self._revision: int | None = None
         self._failing_since: float | None = None
-        self._pause_s = FIRST_PAUSE_S
-        self.is_known = asyncio.Event()
-
-    @property
-    def is_connected(self) -> bool:
-        """Whether the last call succeeded."""
-        return self._failing_since is None
+        self._is_history_gone = False
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
-        while True:
-            try:
-                await self._step()
-            except HistoryGoneError:
-                log.info("the store forgot its history", kind=self.kind, revision=self._revision)
-                self._revision = None
-            except FeedError as error:
-                await self._note_failure(error)
-
-    async def _step(self) -> None:
+        try:
+            while True:
+                if self._failing_since is None:
+                    if await self._step():
+                        await asyncio.sleep(GATHER_S)
+                    continue
+                async with self._health.turn:
+                    await asyncio.sleep(self._health.pause_s * self._rng.uniform(0.5, 1.0))
+                    await self._step(is_probe=True)
+        finally:
+            self.is_connected = False
+
+    async def _step(self, is_probe: bool = False) -> bool:
+        """One call; returns whether it brought changes."""
         loop = asyncio.get_running_loop()
-        if self._revision is None:
-            snapshot = await self._source.list_all(self.kind)
-            take = self._taker.take_list
-        else:
-            snapshot = await self._source.watch(self.kind, self._revision, WAIT_S)
-            take = self._taker.take_changes
-        now = loop.time()
-        was_away = self._failing_since is not None and now - self._failing_since > OUTAGE_S
-        if self._failing_since is not None:
-            log.info("the store answers again", kind=self.kind, away_s=now - self._failing_since)
+        known = self._copy.revision(self.kind)
+        is_whole = known is None or self._is_history_gone or is_probe
+        try:
+            if is_whole:
+                snapshot = await self._source.list_all(self.kind)
+            else:
+                snapshot = await self._source.watch(self.kind, known, WAIT_S)
+        except HistoryGoneError:
+            log.info("history gone", kind=self.kind, revision=known)
+            self._is_history_gone = True
+            return False
+        except FeedError as error:
+            self.is_connected = False
+            self._failing_since = self._failing_since or loop.time()
+            self._health.note_failure(self.kind, error, loop.time())
+            return False
+        away_s = loop.time() - self._failing_since if self._failing_since is not None else 0.0
+        self._health.note_success(self.kind, loop.time())
         self._failing_since = None
-        self._pause_s = FIRST_PAUSE_S
-        self.heard_at = now
-        self._revision = snapshot.revision
-        take(snapshot.changes, was_away)
-        self.is_known.set()
-
-    async def _note_failure(self, error: FeedError) -> None:
-        loop = asyncio.get_running_loop()
-        if self._failing_since is None:
-            self._failing_since = loop.time()
-            log.warning("the store does not answer", kind=self.kind, error=str(error))
-        await asyncio.sleep(self._pause_s * self._rng.uniform(0.5, 1.0))
-        self._pause_s = min(MAX_PAUSE_S, self._pause_s * 2)
+        self._is_history_gone = False
+        self.is_connected = True
+        self._copy.apply(
+            KindNews(self.kind, snapshot.revision, is_whole, snapshot.changes, away_s > OUTAGE_S)
+        )
+        return bool(snapshot.changes)
--- /dev/null
+++ b/papayalever/entry/follower.py
@@ -0,0 +1,143 @@
+"""Keeps an instance's copy of the store current, through another instance or by itself."""
+
+import asyncio
+from random import Random
+
+import logbook
+
+from ..cluster.exceptions import PeerUnreachableError
+from ..cluster.links import LinkPool
+from ..cluster.messages import Follow, FollowReply
+from ..routing.relays import InstanceEntry, Relays
+from .copy import StoreCopy
+from .feed import Feed, Source, StoreHealth
+from .shared import now
+
+WAIT_S = 0.6
+"""How long a relay holds a question without news: the heartbeat of the domain."""
+ANSWER_S = 1.1
+"""A relay that does not answer by then is left: with the next one's answer, changes are known
+everywhere within 2 s."""
+REVIEW_S = 0.5
+"""How often an instance that reads the store looks for a more senior one."""
+OWN_READ_S = 2.0
+"""How long an instance reads the store itself when no relay hears it."""
+
+log = logbook.Logger("follower")
+
+
+class Follower:
+    """Follows a relay; reads the store while this instance is the relay or none is current."""
+
+    def __init__(
+        self,
+        relays: Relays,
+        copy: StoreCopy,
+        source: Source,
+        kinds: tuple[str, ...],
+        pool: LinkPool,
+        seeds: tuple[str, ...],
+        rng: Random,
+    ) -> None:
+        self.relays = relays
+        self.health = StoreHealth()
+        self.heard_at = float("-inf")
+        """When a current relay answered last."""
+        self.following = ""
+        self.is_leaving = False
+        self._copy = copy
+        self._pool = pool
+        self._seeds = seeds
+        self._feeds = [Feed(kind, source, copy, self.health, rng) for kind in kinds]
+        self._tasks: list[asyncio.Task] = []
+        self._own_until = float("-inf")
+
+    @property
+    def is_reading(self) -> bool:
+        """Whether this instance reads the store itself."""
+        return bool(self._tasks)
+
+    @property
+    def is_current(self) -> bool:
+        """Whether the copy is fed by the store or by an instance that is."""
+        if self.is_reading:
+            return all(feed.is_connected for feed in self._feeds)
+        return now() - self.heard_at < ANSWER_S
+
+    async def run(self) -> None:
+        """Keep the copy current until cancelled."""
+        try:
+            if not self._copy.is_complete:
+                self._read_store()
+            while True:
+                if self.relays.is_relay(now()) or now() < self._own_until:
+                    self._read_store()
+                    await self._copy.wait_change(REVIEW_S)
+                elif not await self._follow_one():
+                    self._own_until = now() + OWN_READ_S
+        finally:
+            self._leave_store()
+
+    async def answer(self, message: Follow) -> FollowReply:
+        """Tell another instance what is new, or that nothing is."""
+        self.relays.trust(message.instance)
+        news = self._copy.since(message.revision_by_kind)
+        if not news and self.is_current:
+            await self._copy.wait_change(message.wait_ms / 1000)
+            news = self._copy.since(message.revision_by_kind)
+        return FollowReply(self.is_current and not self.is_leaving, news)
+
+    async def ask_seeds(self) -> None:
+        """Take over what a running instance knows, for a start while the store is away."""
+        for address in self._seeds:
+            if self._copy.is_complete:
+                return
+            reply = await self._ask(address)
+            if reply:
+                self._apply(reply)
+
+    async def _follow_one(self) -> bool:
+        """Ask the best relay that answers; returns whether one is current."""
+        for relay in self.relays.candidates(now()):
+            reply = await self._ask(relay.peer_address)
+            if reply is None:
+                self.relays.suspect(relay.name, now())
+                log.warning("relay lost", relay=relay.name)
+                continue
+            self._apply(reply)
+            if reply.is_current:
+                self._note_followed(relay)
+                return True
+        return False
+
+    def _note_followed(self, relay: InstanceEntry) -> None:
+        self.heard_at = now()
+        if self.following != relay.name:
+            self.following = relay.name
+            log.info("relay followed", relay=relay.name)
+        if self._copy.is_complete:
+            self._leave_store()
+
+    async def _ask(self, address: str) -> FollowReply | None:
+        question = Follow(self.relays.own.name, self._copy.revision_by_kind, int(WAIT_S * 1000))
+        try:
+            reply = await self._pool.request(address, question, ANSWER_S)
+        except PeerUnreachableError:
+            return None
+        return reply if isinstance(reply, FollowReply) else None
+
+    def _apply(self, reply: FollowReply) -> None:
+        for news in reply.news:
+            self._copy.apply(news)
+
+    def _read_store(self) -> None:
+        if not self._tasks:
+            log.info("store read", why="most senior" if self._copy.is_complete else "start")
+            self.following = ""
+            loop = asyncio.get_running_loop()
+            self._tasks = [loop.create_task(feed.run()) for feed in self._feeds]
+
+    def _leave_store(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        self._tasks = []
--- a/papayalever/entry/instance.py
+++ b/papayalever/entry/instance.py
@@ -1,22 +1,30 @@
 """One entry instance: starts its tasks, connects them and stops them gracefully."""
 
 import asyncio
+import math
 import signal
+import time
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
+from typing import Any, Protocol
 
 import logbook
 import msgspec
 
+from ..cluster.links import LinkPool, LinkServer
+from ..cluster.messages import Follow, KindNews
 from ..routing.choice import Chooser
-from ..routing.placement import Placement
+from ..routing.placement import Placement, rendezvous_score
+from ..routing.relays import InstanceEntry, Relays
 from ..routing.routes import CallerLimits, PartSplitter, RouteTable, RoutingConfig
 from ..routing.servers import Server, ServerEntry, ServerTable
 from .caller import CallerConnection, Handle
+from .copy import StoreCopy
 from .exchange import Exchange, refuse
-from .feed import Change, Feed, Source, Taker
+from .feed import FeedError, Source
+from .follower import Follower
 from .line import Line
 from .messages import Answer, CallerRequest, Look
 from .pool import Pool
@@ -32,6 +40,10 @@
 """After SIGTERM callers that still have the address are served for so long."""
 STOP_MARGIN_S = 0.3
 """Kept before SIGKILL, to close what is left."""
+INSTANCE_KIND = "papayalever-instances"
+"""Kind of our own in the store: each instance registers itself once."""
+REGISTER_PAUSE_S = 1.0
+"""Between tries to register: calls are limited and priced, and nobody waits for the entry."""
 OWN_LIMITS = CallerLimits(header_bytes=8 * 1024, body_bytes=1024, header_s=3.0, idle_s=30.0)
 RETURN_UNKNOWN_S = 0.5
 """When to come back to an instance that knows no configuration yet."""
@@ -55,16 +67,26 @@
     ready_path: str
 
 
+class InstanceStore(Source, Protocol):
+    """What an instance needs of the store beside reading."""
+
+    async def publish(self, kind: str, name: str, value: Any) -> None:
+        """Create or replace an object."""
+
+    async def withdraw(self, kind: str, name: str) -> None:
+        """Delete an object."""
+
+
 class EntryInstance:
     """Serves callers until a stop is requested."""
 
     def __init__(
-        self, settings: EntrySettings, source: Source, dialect: Dialect, reader: Reader
+        self, settings: EntrySettings, store: InstanceStore, dialect: Dialect, reader: Reader
     ) -> None:
         self.settings = settings
         self._reader = reader
-        self._source = source
-        self._rng = Random(settings.instance)
+        self._store = store
+        rng = Random(settings.instance)
         servers = ServerTable()
         self.shared = Shared(
             dialect, settings.bounds, RouteTable(), servers, PartSplitter(), Pool()
@@ -77,17 +99,25 @@
         self._listeners: list[asyncio.Server] = []
         self._stop = asyncio.Event()
         self.is_leaving = False
-        self._feeds = [
-            self._feed(reader.config_kind, self._take_config, self._take_config),
-            self._feed(reader.server_kind, self._take_server_list, self._take_servers),
-            self._feed(reader.evacuation_kind, self._take_evacuation_list, self._take_evacuations),
-        ]
+        self._take_by_kind: dict[str, Callable[[KindNews], None]] = {
+            reader.config_kind: self._take_config,
+            reader.server_kind: self._take_servers,
+            reader.evacuation_kind: self._take_evacuations,
+            INSTANCE_KIND: self._take_instances,
+        }
+        kinds = tuple(self._take_by_kind)
+        self.copy = StoreCopy(kinds, lambda news: self._take_by_kind[news.kind](news))
+        self._relays = Relays(_own_entry(settings, int(time.time() * 1000)))
+        self._links = LinkPool()
+        self.follower = Follower(
+            self._relays, self.copy, store, kinds, self._links, settings.seeds, rng
+        )
+        self._peers = LinkServer(settings.peer_listener, self._handle_peer)
 
     @property
     def is_ready(self) -> bool:
         """Whether callers should use this instance."""
-        knows = all(feed.is_known.is_set() for feed in self._feeds[:2])
-        return knows and self.shared.routes.version > 0 and not self.is_leaving
+        return self.copy.is_complete and self.shared.routes.version > 0 and not self.is_leaving
 
     def request_stop(self) -> None:
         """Begin a graceful shutdown."""
@@ -98,9 +128,10 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.request_stop)
         loop.add_signal_handler(signal.SIGHUP, lambda: log.info("settings changed"))
-        tasks = [loop.create_task(feed.run()) for feed in self._feeds]
-        tasks.append(loop.create_task(self._sweep()))
+        work = (self.follower.run(), self.follower.ask_seeds(), self._register(), self._sweep())
+        tasks = [loop.create_task(item) for item in work]
         settings = self.settings
+        await self._peers.start()
         front = await self._listen(settings.caller_listener, self._handle, self._limits, True)
         await self._listen(settings.ready_listener, self._handle_ready, lambda: OWN_LIMITS, False)
         if settings.directory_listener:
@@ -209,72 +240,106 @@
 
     # What the store says.
 
-    def _feed(self, kind: str, take_list: Callable, take_changes: Callable) -> Feed:
-        return Feed(kind, self._source, Taker(take_list, take_changes), self._rng)
-
-    def _take_config(self, changes: list[Change], was_away: bool) -> None:
-        for change in changes:
-            if change.name != self._reader.config_name or change.value is None:
+    def _take_config(self, news: KindNews) -> None:
+        for name, value in news.changes:
+            if name != self._reader.config_name or value is None:
                 continue
             try:
-                config = self._reader.read_config(change.value)
+                config = self._reader.read_config(value)
             except self._reader.error as error:
-                log.warning("configuration refused", error=str(error))
+                log.warning("configuration refused", error=str(error), revision=news.revision)
                 continue
             if self.shared.routes.take(config):
-                log.info("configuration in force", version=config.version)
+                log.info("configuration in force", version=config.version, revision=news.revision)
                 self.line.note_room()
 
-    def _take_server_list(self, changes: list[Change], was_away: bool) -> None:
-        entries = [entry for change in changes if (entry := self._read_server(change))]
-        self.shared.servers.replace_all(entries, was_away, now())
-        log.info("server list", servers=len(entries), after_outage=was_away)
+    def _take_servers(self, news: KindNews) -> None:
+        servers, is_after = self.shared.servers, news.is_after_outage
+        entries = [self._read_server(name, value) for name, value in news.changes]
+        if news.is_whole:
+            servers.replace_all([entry for entry in entries if entry], is_after, now())
+            log.info("server list", servers=len(entries), after_outage=is_after)
+        else:
+            for (name, _), entry in zip(news.changes, entries, strict=True):
+                self._take_server(name, entry, is_after)
         self.line.note_room()
 
-    def _take_servers(self, changes: list[Change], was_away: bool) -> None:
-        for change in changes:
-            entry = self._read_server(change)
-            if entry:
-                self.shared.servers.put(entry, now())
-                log.info("server", id=entry.id, phase=entry.phase, cold_s=entry.cold_left_s)
-            else:
-                self.shared.servers.remove(change.name, was_away, now())
-                log.info("server gone", id=change.name, after_outage=was_away)
-        if changes:
-            self.line.note_room()
+    def _take_server(self, name: str, entry: ServerEntry | None, is_after_outage: bool) -> None:
+        if entry:
+            self.shared.servers.put(entry, now())
+            log.info("server", id=entry.id, phase=entry.phase, cold_s=entry.cold_left_s)
+        else:
+            self.shared.servers.remove(name, is_after_outage, now())
+            log.info("server gone", id=name, after_outage=is_after_outage)
 
-    def _read_server(self, change: Change) -> ServerEntry | None:
-        if change.value is None:
+    def _read_server(self, name: str, value: bytes | None) -> ServerEntry | None:
+        if value is None:
             return None
         try:
-            return self._reader.read_server(change.name, change.value)
+            return self._reader.read_server(name, value)
         except self._reader.error as error:
             log.warning("server entry refused", error=str(error))
             return None
 
-    def _take_evacuation_list(self, changes: list[Change], was_away: bool) -> None:
-        self._set_evacuated({change.name for change in changes if change.value is not None})
-
-    def _take_evacuations(self, changes: list[Change], was_away: bool) -> None:
-        evacuated = set(self.shared.servers.evacuated)
-        for change in changes:
-            if change.value is None:
-                evacuated.discard(change.name)
+    def _take_evacuations(self, news: KindNews) -> None:
+        domains = set() if news.is_whole else set(self.shared.servers.evacuated)
+        for name, value in news.changes:
+            if value is None:
+                domains.discard(name)
             else:
-                evacuated.add(change.name)
-        if changes:
-            self._set_evacuated(evacuated)
-
-    def _set_evacuated(self, domains: set[str]) -> None:
+                domains.add(name)
         config = self.shared.routes.config
         rules = config.service_by_name.values() if config else ()
         cold_s = max((rule.cold_s for rule in rules), default=0.0)
         self.shared.servers.set_evacuated(domains, cold_s, now())
-        log.info("evacuations", failure_domains=sorted(domains))
+        log.info("evacuations", failure_domains=sorted(domains), revision=news.revision)
         self.line.note_room()
 
+    def _take_instances(self, news: KindNews) -> None:
+        entry_by_name = {} if news.is_whole else dict(self._relays.entry_by_name)
+        for name, value in news.changes:
+            entry_by_name.pop(name, None)
+            if value is None:
+                continue
+            try:
+                entry_by_name[name] = msgspec.json.decode(value, type=InstanceEntry)
+            except (msgspec.ValidationError, msgspec.DecodeError) as error:
+                log.warning("instance entry refused", name=name, error=str(error))
+        self._relays.replace_all(entry_by_name.values())
+        self.shared.instances = max(1, len(entry_by_name))
+        log.info("instances", count=len(entry_by_name), revision=news.revision)
+
+    def _handle_peer(self, message: Any) -> Any:
+        if isinstance(message, Follow):
+            return self.follower.answer(message)
+        log.warning("unknown message", type=type(message).__name__)
+        return None
+
+    async def _register(self) -> None:
+        """Let the others know of this instance; nobody waits for it."""
+        while True:
+            try:
+                entry = msgspec.to_builtins(self._relays.own)
+                await self._store.publish(INSTANCE_KIND, self.settings.instance, entry)
+                return
+            except FeedError as error:
+                log.warning("not registered yet", error=str(error))
+                await asyncio.sleep(REGISTER_PAUSE_S)
+
     def _may_warm_up(self, server: Server, at: float) -> bool:
-        return server.entry.failure_domain == self.settings.failure_domain
+        """Whether this instance is among the few that may send to a cold server.
+
+        All together they stay at the rate that the server withstands; with views that differ for
+        a moment, at twice of it.
+        """
+        config = self.shared.routes.config
+        rule = config.service_by_name.get(server.entry.service) if config else None
+        count = max(1, math.floor(rule.cold_per_s)) if rule else 1
+        entries = self._relays.entry_by_name.values()
+        near = [item.name for item in entries if item.region == server.entry.region]
+        names = near or [item.name for item in entries]
+        order = sorted(names, key=lambda name: rendezvous_score(server.id, name, 1.0))
+        return self.settings.instance in order[:count]
 
     async def _sweep(self) -> None:
         while True:
@@ -289,11 +354,15 @@
         """Serve who still comes, then only what was accepted, until it ends or time is up."""
         loop = asyncio.get_running_loop()
         began = loop.time()
-        self.is_leaving = True
+        self.is_leaving = self.follower.is_leaving = True
         log.info("leaving", open_connections=len(self._callers))
         for connection in list(self._callers):
             connection.drain()
-        await asyncio.sleep(LISTEN_ON_S)
+        try:
+            await self._store.withdraw(INSTANCE_KIND, self.settings.instance)
+        except FeedError as error:
+            log.warning("entry not withdrawn", error=str(error))
+        await asyncio.sleep(max(0.0, began + LISTEN_ON_S - loop.time()))
         front.close()
         end_at = began + self.settings.bounds.stop_s - STOP_MARGIN_S
         while self._callers and loop.time() < end_at:
@@ -304,3 +373,14 @@
 
 def _ignore(_: CallerConnection) -> None:
     """For listeners whose connections nobody counts."""
+
+
+def _own_entry(settings: EntrySettings, started_ms: int) -> InstanceEntry:
+    return InstanceEntry(
+        name=settings.instance,
+        failure_domain=settings.failure_domain,
+        region=settings.region,
+        peer_address=settings.peer_listener,
+        caller_address=settings.caller_listener,
+        started_ms=started_ms,
+    )
--- a/papayalever/entry/settings.py
+++ b/papayalever/entry/settings.py
@@ -39,8 +39,10 @@
     caller_listener: str
     ready_listener: str
     directory_listener: str | None
-    internal_port: int
+    peer_listener: str
     store: str
+    seeds: tuple[str, ...] = ()
+    """Peer listeners of other instances; some may be gone."""
     memory_mb: float = 222.0
     link_mbit_s: float = 100.0
     cpu_share: float = 1.0
--- a/papayalever/platform/store.py
+++ b/papayalever/platform/store.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from ..entry.connection import PeerConnection, SendError, connect
-from ..entry.feed import Change, FeedError, HistoryGoneError, Snapshot
+from ..entry.feed import FeedError, HistoryGoneError, Snapshot
 from ..entry.messages import ServerAnswer
 
 CONNECT_S = 0.4
@@ -77,7 +77,7 @@
 
     async def list_all(self, kind: str) -> Snapshot:
         """Every object of a kind with the revision that it is from."""
-        changes: list[Change] = []
+        changes: list[tuple[str, bytes | None]] = []
         after, as_of = "", 0
         while True:
             query = f"?after={quote(after)}" if after else ""
@@ -98,17 +98,15 @@
             [_change(item.object, item.deleted) for item in answer.events], answer.as_of
         )
 
-    async def create(self, kind: str, name: str, value: Any) -> None:
-        """Create an object; raises `ConflictError` if it exists."""
+    async def publish(self, kind: str, name: str, value: Any) -> None:
+        """Create an object or replace it whatever its revision; a repeat does no harm."""
         document = {"metadata": {"name": name}, "spec": value}
-        await self._call("POST", f"/objects/{kind}", document, CALL_S)
-
-    async def replace(self, kind: str, name: str, value: Any) -> None:
-        """Replace an object whatever its revision."""
-        document = {"metadata": {"name": name}, "spec": value}
-        await self._call("PUT", f"/objects/{kind}/{quote(name)}", document, CALL_S)
+        try:
+            await self._call("POST", f"/objects/{kind}", document, CALL_S)
+        except ConflictError:
+            await self._call("PUT", f"/objects/{kind}/{quote(name)}", document, CALL_S)
 
-    async def delete(self, kind: str, name: str) -> None:
+    async def withdraw(self, kind: str, name: str) -> None:
         """Delete an object."""
         await self._call("DELETE", f"/objects/{kind}/{quote(name)}", None, CALL_S)
 
@@ -150,6 +148,6 @@
         raise StoreError(f"the store's answer can not be read: {error}") from error
 
 
-def _change(item: StoredObject, is_deleted: bool) -> Change:
+def _change(item: StoredObject, is_deleted: bool) -> tuple[str, bytes | None]:
     is_deleted = is_deleted or item.metadata.deleting
-    return Change(item.metadata.name, None if is_deleted else bytes(item.spec))
+    return (item.metadata.name, None if is_deleted else bytes(item.spec))
