Remember crashing requests fleet-wide, bound bodies in memory and serve metrics

Cause: a request that crashes its servers was forgotten with each attempt; bodies of callers had no common bound; nothing was served on the metrics address. Change: a server that refuses connections right after it broke off a request has crashed; the record goes to the store and with the other news to every instance, two crashes end the request. Bodies of all callers together fill a quarter of the memory at most. Counters, gauges and quantiles at 9464.

--- a/papayalever/entry/caller.py
+++ b/papayalever/entry/caller.py
@@ -32,6 +32,14 @@
         self.status = status
 
 
+class BodyMemory:
+    """Bytes of callers' bodies that one instance holds, and how many it may."""
+
+    def __init__(self, limit: int) -> None:
+        self.limit = limit
+        self.used = 0
+
+
 class CallerConnection(asyncio.Protocol):
     """Parses requests, runs the handler for each and writes the answers in order."""
 
@@ -41,7 +49,10 @@
         read_limits: Callable[[], CallerLimits],
         on_open: Callable[["CallerConnection"], None],
         on_close: Callable[["CallerConnection"], None],
+        memory: BodyMemory,
     ) -> None:
+        self._memory = memory
+        self._held = 0
         self._handle = handle
         self._read_limits = read_limits
         self._on_open = on_open
@@ -110,6 +121,8 @@
         for task in self._pending:
             task.cancel()
         self._pending.clear()
+        self._memory.used -= self._held
+        self._held = 0
         self._on_close(self)
 
     def pause_writing(self) -> None:
@@ -165,6 +178,9 @@
     def on_body(self, body: bytes) -> None:
         """A piece of the body."""
         self._body += body
+        self._hold(len(body))
+        if self._memory.used > self._memory.limit:
+            raise BadRequestError(HTTPStatus.SERVICE_UNAVAILABLE, "not run: no memory for it")
         if len(self._body) > self._read_limits().body_bytes:
             raise BadRequestError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "The body is too large.")
 
@@ -189,12 +205,20 @@
         self._regulate()
 
     async def _answer(self, request: CallerRequest) -> Answer:
-        answer = await self._handle(request)
+        try:
+            answer = await self._handle(request)
+        finally:
+            self._hold(-len(request.body))
         answer.must_close = answer.must_close or not request.keep_alive
         return answer
 
     # Answers.
 
+    def _hold(self, size: int) -> None:
+        size = max(size, -self._held)
+        self._held += size
+        self._memory.used += size
+
     def _flush(self) -> None:
         """Write the answers that are due, in order."""
         while self._pending and self._pending[0].done() and self._transport:
--- a/papayalever/entry/connection.py
+++ b/papayalever/entry/connection.py
@@ -34,10 +34,12 @@
 class SendError(Exception):
     """A send without an answer."""
 
-    def __init__(self, failure: SendFailure, detail: str = "") -> None:
+    def __init__(self, failure: SendFailure, detail: str = "", is_refused: bool = False) -> None:
         super().__init__(f"{failure}: {detail}" if detail else str(failure))
         self.failure = failure
         self.detail = detail
+        self.is_refused = is_refused
+        """Nobody listens at the address."""
 
 
 class PeerConnection(asyncio.Protocol):
@@ -209,7 +211,7 @@
         async with asyncio.timeout(timeout_s):
             _, protocol = await loop.create_connection(PeerConnection, host, int(port))
     except ConnectionRefusedError as error:
-        raise SendError(SendFailure.NOT_CONNECTED, "refused") from error
+        raise SendError(SendFailure.NOT_CONNECTED, "refused", True) from error
     except TimeoutError as error:
         raise SendError(SendFailure.NOT_CONNECTED, "no answer to the connection") from error
     except OSError as error:
--- a/papayalever/entry/exchange.py
+++ b/papayalever/entry/exchange.py
@@ -9,10 +9,11 @@
 from ..routing.routes import RouteRule
 from ..routing.servers import Server
 from ..routing.waiting import Ticket
-from .connection import SendError, SendFailure
+from .connection import SendError, SendFailure, connect
 from .line import Line
 from .messages import Answer, AnswerKind, CallerRequest, RequestMeta, ServerAnswer
-from .shared import Shared, now
+from .pool import CONNECT_S
+from .shared import Shared, digest_request, now
 
 HOP_HEADERS = frozenset(
     (
@@ -69,7 +70,9 @@
         self._request = request
         self._meta = meta
         self._route = route
-        self._service = shared.splitter.choose(route)
+        self.service = shared.splitter.choose(route)
+        self.object_key = self._find_key()
+        self._digest: str | None = None
         deadline_s = meta.deadline_s or DEFAULT_DEADLINE_S
         self._give_up_at = request.arrived_at + min(deadline_s, route.timeout_s)
         self._avoid: set[str] = set()
@@ -77,9 +80,14 @@
         self._sends = 0
         self.story = Story()
 
+    @property
+    def rank(self) -> int:
+        """Urgency of the request."""
+        return self._route.rank
+
     async def run(self) -> Answer:
         """The answer for the caller; never raises but for cancellation."""
-        self._shared.budget(self._service).note_request(now())
+        self._shared.budget(self.service).note_request(now())
         try:
             async with asyncio.timeout_at(self._give_up_at):
                 return await self._try_servers()
@@ -88,6 +96,8 @@
 
     async def _try_servers(self) -> Answer:
         while True:
+            if self._is_quarantined():
+                return self._give_up("the request crashed servers")
             server = await self._find_server()
             if server is None:
                 return self._give_up("no server has room")
@@ -96,13 +106,14 @@
                 return outcome
             self.story.failures.append(outcome)
             self._avoid.add(server.id)
+            self._shared.metrics.count("failed_sends", outcome)
             if not self._may_try_again(outcome):
                 return self._give_up(outcome)
 
     async def _find_server(self) -> Server | None:
         started = now()
         wait_s = self._route.aim_s * WAIT_SHARE
-        claim = Claim(self._service, self._object_key(), self._route.regions)
+        claim = Claim(self.service, self.object_key, self._route.regions)
         ticket = Ticket(
             claim,
             self._route.rank,
@@ -114,7 +125,7 @@
         self.story.waited_s += now() - started
         return server
 
-    def _object_key(self) -> str:
+    def _find_key(self) -> str:
         if self._route.has_affinity and self._meta.object_key:
             return self._meta.object_key.decode("latin-1")
         # Without an object any server is as good: spread by the request itself.
@@ -127,6 +138,8 @@
         try:
             answer = await self._send(server)
         except SendError as error:
+            if error.failure == SendFailure.LOST:
+                await self._note_crash(server)
             return self._note_failed(server, error)
         finally:
             shared.servers.note_end(server)
@@ -180,11 +193,33 @@
             return "server error"
         return Answer(answer.status, _returned(answer.headers), answer.body)
 
+    def _is_quarantined(self) -> bool:
+        crashes = self._shared.crashes
+        return crashes.known.has_any and crashes.is_quarantined(self._read_digest(), now())
+
+    def _read_digest(self) -> str:
+        if self._digest is None:
+            request = self._request
+            self._digest = digest_request(
+                request.host, request.method, request.target, request.body
+            )
+        return self._digest
+
+    async def _note_crash(self, server: Server) -> None:
+        """A server that accepts no connection right after it broke off has crashed."""
+        try:
+            connection = await connect(server.entry.address, CONNECT_S)
+        except SendError as error:
+            if error.is_refused:
+                self._shared.crashes.note(self._read_digest(), server.id, now())
+            return
+        connection.close()
+
     def _can_repeat(self) -> bool:
         """Whether another server may run the request too, with time for it left."""
         has_time = self._give_up_at - now() > self._route.aim_s * WAIT_SHARE
         is_allowed = self._route.is_idempotent and self._sends < self._route.max_servers
-        return is_allowed and has_time and self._shared.budget(self._service).left(now()) >= 1
+        return is_allowed and has_time and self._shared.budget(self.service).left(now()) >= 1
 
     def _note_failed(self, server: Server, error: SendError) -> str:
         servers = self._shared.servers
@@ -196,7 +231,7 @@
         else:
             # One lost answer is no evidence against a server; a crash shows at the next connect.
             server.failures = 1
-        return str(error)
+        return str(error.failure)
 
     def _may_try_again(self, outcome: str) -> bool:
         if self._give_up_at - now() < MIN_LEFT_S or self._connects >= MAX_CONNECTS:
@@ -205,11 +240,10 @@
             return False
         if self._sends >= self._route.max_servers:
             return False
-        return not self._sends or self._shared.budget(self._service).take(now())
+        return not self._sends or self._shared.budget(self.service).take(now())
 
     def _give_up(self, reason: str) -> Answer:
         """The final answer of a request that no server answered."""
-        self._shared.counters[f"given_up/{reason}"] += 1
         if not self.story.may_have_run:
             return refuse(self._shared, reason, RETURN_S)
         status = 504 if reason == "out of time" else 502
--- a/papayalever/entry/instance.py
+++ b/papayalever/entry/instance.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
-from typing import Any, Protocol
+from typing import Any
 
 import logbook
 import msgspec
@@ -20,16 +20,19 @@
 from ..routing.relays import InstanceEntry, Relays
 from ..routing.routes import CallerLimits, PartSplitter, RouteTable, RoutingConfig
 from ..routing.servers import Server, ServerEntry, ServerTable
-from .caller import CallerConnection, Handle
+from .caller import BodyMemory, CallerConnection, Handle
 from .copy import StoreCopy
+from .crashes import CRASH_KIND, Crashes
 from .exchange import Exchange, refuse
-from .feed import FeedError, Source
+from .feed import FeedError
 from .follower import Follower
 from .line import Line
 from .messages import Answer, CallerRequest, Look
+from .metrics import EntryMetrics
 from .pool import Pool
 from .settings import EntrySettings
 from .shared import Dialect, Shared, now
+from .store_view import InstanceStore
 
 BACKLOG = 512
 """New connections that wait to be accepted; a full queue delays a caller by seconds."""
@@ -40,6 +43,11 @@
 """After SIGTERM callers that still have the address are served for so long."""
 STOP_MARGIN_S = 0.3
 """Kept before SIGKILL, to close what is left."""
+METRICS_PORT = 9464
+METRICS_PATH = "/metrics"
+"""Port and path of the deploy file's metrics address."""
+BODY_SHARE = 0.25
+"""Part of the memory that callers' bodies may fill; the program itself needs 40 MB of 152 MB."""
 INSTANCE_KIND = "papayalever-instances"
 """Kind of our own in the store: each instance registers itself once."""
 REGISTER_PAUSE_S = 1.0
@@ -67,16 +75,6 @@
     ready_path: str
 
 
-class InstanceStore(Source, Protocol):
-    """What an instance needs of the store beside reading."""
-
-    async def publish(self, kind: str, name: str, value: Any) -> None:
-        """Create or replace an object."""
-
-    async def withdraw(self, kind: str, name: str) -> None:
-        """Delete an object."""
-
-
 class EntryInstance:
     """Serves callers until a stop is requested."""
 
@@ -88,8 +86,17 @@
         self._store = store
         rng = Random(settings.instance)
         servers = ServerTable()
+        self.metrics = EntryMetrics(self._read_gauges)
         self.shared = Shared(
-            dialect, settings.bounds, RouteTable(), servers, PartSplitter(), Pool()
+            dialect=dialect,
+            bounds=settings.bounds,
+            routes=RouteTable(),
+            servers=servers,
+            splitter=PartSplitter(),
+            pool=Pool(),
+            crashes=Crashes(store, settings.instance),
+            metrics=self.metrics,
+            bodies=BodyMemory(int(settings.memory_mb * BODY_SHARE * 1024 * 1024)),
         )
         domains = Counter(settings.region_by_domain.values())
         self._placement = Placement(servers, settings.region, domains)
@@ -104,6 +111,7 @@
             reader.server_kind: self._take_servers,
             reader.evacuation_kind: self._take_evacuations,
             INSTANCE_KIND: self._take_instances,
+            CRASH_KIND: self._take_crashes,
         }
         kinds = tuple(self._take_by_kind)
         self.copy = StoreCopy(kinds, lambda news: self._take_by_kind[news.kind](news))
@@ -134,6 +142,8 @@
         await self._peers.start()
         front = await self._listen(settings.caller_listener, self._handle, self._limits, True)
         await self._listen(settings.ready_listener, self._handle_ready, lambda: OWN_LIMITS, False)
+        metrics = f"{settings.ip}:{METRICS_PORT}"
+        await self._listen(metrics, self._handle_metrics, lambda: OWN_LIMITS, False)
         if settings.directory_listener:
             await self._listen(
                 settings.directory_listener, self._handle_look, lambda: OWN_LIMITS, False
@@ -157,7 +167,7 @@
         def build() -> CallerConnection:
             on_open = self._note_open if is_front else _ignore
             on_close = self._callers.discard if is_front else _ignore
-            return CallerConnection(handle, limits, on_open, on_close)
+            return CallerConnection(handle, limits, on_open, on_close, self.shared.bodies)
 
         loop = asyncio.get_running_loop()
         server = await loop.create_server(build, host, int(port), backlog=BACKLOG)
@@ -177,6 +187,27 @@
             return Answer(404)
         return Answer(200 if self.is_ready else 503)
 
+    async def _handle_metrics(self, request: CallerRequest) -> Answer:
+        if request.path != METRICS_PATH:
+            return Answer(404)
+        return Answer(200, [(b"Content-Type", b"text/plain")], self.metrics.render())
+
+    def _read_gauges(self) -> dict[str, float]:
+        follower, servers = self.follower, self.shared.servers
+        return {
+            "config_version": float(self.shared.routes.version),
+            "servers": float(len(servers.server_by_id)),
+            "evacuated_domains": float(len(servers.evacuated)),
+            "instances": float(len(self._relays.entry_by_name)),
+            "reads_store": float(follower.is_reading),
+            "view_is_current": float(follower.is_current),
+            "callers_connected": float(len(self._callers)),
+            "requests_waiting": float(len(self.line)),
+            "requests_sent": float(sum(item.in_flight for item in servers.server_by_id.values())),
+            "body_bytes": float(self.shared.bodies.used),
+            "server_connections_opened": float(self.shared.pool.opened),
+        }
+
     async def _handle_look(self, request: CallerRequest) -> Answer:
         look = self._reader.read_look(request.target.decode("latin-1"))
         if look is None:
@@ -218,6 +249,11 @@
         started: float,
     ) -> None:
         story = exchange.story if exchange else None
+        rank = f"rank {exchange.rank}" if exchange else "no route"
+        self.metrics.count("answers", f"{status} {reason}".strip())
+        self.metrics.time("request", rank, now() - started)
+        if story:
+            self.metrics.time("wait", rank, story.waited_s)
         log.info(
             "request",
             id=next(
@@ -229,6 +265,8 @@
                 "",
             ),
             target=request.target.decode("latin-1"),
+            object=exchange.object_key if exchange else "",
+            service=exchange.service if exchange else "",
             config=self.shared.routes.version,
             status=status,
             reason=reason,
@@ -309,6 +347,15 @@
         self.shared.instances = max(1, len(entry_by_name))
         log.info("instances", count=len(entry_by_name), revision=news.revision)
 
+    def _take_crashes(self, news: KindNews) -> None:
+        for name, value in news.changes:
+            if value is None:
+                continue
+            try:
+                self.shared.crashes.take(value, now())
+            except (msgspec.ValidationError, msgspec.DecodeError) as error:
+                log.warning("crash record refused", name=name, error=str(error))
+
     def _handle_peer(self, message: Any) -> Any:
         if isinstance(message, Follow):
             return self.follower.answer(message)
--- a/papayalever/entry/shared.py
+++ b/papayalever/entry/shared.py
@@ -2,14 +2,16 @@
 
 import asyncio
 import hashlib
-from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from ..routing.budget import RepeatBudget
 from ..routing.routes import PartSplitter, RouteTable
 from ..routing.servers import ServerTable
+from .caller import BodyMemory
+from .crashes import Crashes
 from .messages import AnswerKind, RequestMeta, ServerAnswer
+from .metrics import EntryMetrics
 from .pool import Pool
 from .settings import Bounds
 
@@ -36,7 +38,9 @@
     servers: ServerTable
     splitter: PartSplitter
     pool: Pool
-    counters: Counter = field(default_factory=Counter)
+    crashes: Crashes
+    metrics: EntryMetrics
+    bodies: BodyMemory
     budget_by_service: dict[str, RepeatBudget] = field(default_factory=dict)
     instances: int = 24
     """Entry instances that share budgets; the most one of today's deployments has."""
--- /dev/null
+++ b/papayalever/entry/store_view.py
@@ -0,0 +1,15 @@
+"""What an entry instance needs of the store."""
+
+from typing import Any, Protocol
+
+from .feed import Source
+
+
+class InstanceStore(Source, Protocol):
+    """Reading and the few writes of an instance."""
+
+    async def publish(self, kind: str, name: str, value: Any) -> None:
+        """Create or replace an object."""
+
+    async def withdraw(self, kind: str, name: str) -> None:
+        """Delete an object."""
--- a/papayalever/routing/quarantine.py
+++ b/papayalever/routing/quarantine.py
@@ -13,6 +13,11 @@
     def __init__(self) -> None:
         self._crashes_by_digest: OrderedDict[str, dict[str, float]] = OrderedDict()
 
+    @property
+    def has_any(self) -> bool:
+        """Whether any crash is remembered."""
+        return bool(self._crashes_by_digest)
+
     def note(self, digest: str, backend: str, now: float) -> None:
         """Record a crash seen here or by another instance."""
         crashes = self._crashes_by_digest.setdefault(digest, {})
