Keep one line for each server at an instance that owns it

Change: a few instances of a server's failure domain own it by hash. Who wants to send asks the owner for a place; the owner counts all places and lets those go first that can make their aim, then the urgent ones; what can not be served in time is refused at once. While a long wait is ahead another server with spare room, or one that knows the object, is asked. A far calm server is told, not asked. Places are soft state: a lost one ends by lease.

--- a/papayalever/cluster/codec.py
+++ b/papayalever/cluster/codec.py
@@ -38,6 +38,10 @@
     messages.KindNews,
     messages.Follow,
     messages.FollowReply,
+    messages.AskPlace,
+    messages.AwaitPlace,
+    messages.PlaceReply,
+    messages.ReturnPlace,
 )
 TYPE_BY_TAG = {FIRST_TAG + index: kind for index, kind in enumerate(MESSAGE_TYPES)}
 TAG_BY_TYPE = {kind: tag for tag, kind in TYPE_BY_TAG.items()}
--- a/papayalever/cluster/messages.py
+++ b/papayalever/cluster/messages.py
@@ -319,3 +319,61 @@
     is_current: bool
     """Whether the sender itself hears the store or one that does."""
     news: list[KindNews]
+
+
+class PlaceState(StrEnum):
+    """What the owner of a server says to a question for a place."""
+
+    GRANTED = "granted"
+    QUEUED = "queued"
+    REFUSED = "refused"
+
+
+@dataclass(frozen=True, slots=True)
+class AskPlace:
+    """An instance wants to send a request to a server that the receiver owns."""
+
+    instance: str
+    number: int
+    """With the instance the identity of the place."""
+    server: str
+    rank: int
+    aim_left_ms: int
+    """Time until the answer loses its full value, below 0 if it has."""
+    lease_ms: int
+    """Time after which the request is over in any case."""
+    object_key: str
+    """The object of the request: a server that handled it lately is faster."""
+    is_substitute: bool
+    """Whether the object has another server: then only spare room is given, or room where the
+    object is known."""
+    is_taken: bool
+    """Whether the request is on its way already; the answer is for the next one."""
+
+
+@dataclass(frozen=True, slots=True)
+class AwaitPlace:
+    """The instance waits for a place that was queued."""
+
+    instance: str
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class PlaceReply:
+    """Whether there is a place, and if not, when to try again."""
+
+    state: str
+    wait_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReturnPlace:
+    """A place is free again, or not wanted any more."""
+
+    instance: str
+    number: int
+    ran_ms: int
+    """Time from the send to the answer; 0 if there was no answer."""
+    running: int
+    """The server's own count of running and waiting requests, -1 if it told none."""
--- a/papayalever/entry/exchange.py
+++ b/papayalever/entry/exchange.py
@@ -1,19 +1,20 @@
 """One request of a caller, from its head to its answer."""
 
 import asyncio
+import itertools
 from dataclasses import dataclass, field
 
 import logbook
 
-from ..routing.placement import Claim
+from ..routing.placement import Claim, Placement
 from ..routing.routes import RouteRule
 from ..routing.servers import Server
-from ..routing.waiting import Ticket
+from .clock import now
 from .connection import SendError, SendFailure, connect
-from .line import Line
+from .desk import Desk, Place, Want
 from .messages import Answer, AnswerKind, CallerRequest, RequestMeta, ServerAnswer
 from .pool import CONNECT_S
-from .shared import Shared, digest_request, now
+from .shared import Shared, digest_request
 
 HOP_HEADERS = frozenset(
     (
@@ -34,8 +35,11 @@
 """For callers that state none."""
 MAX_CONNECTS = 4
 """Servers that one request tries to reach; nothing was sent to those that can not be reached."""
-WAIT_SHARE = 0.5
-"""Part of the aim that a request waits here for a server."""
+REPEAT_SHARE = 0.5
+"""Part of the aim that must be left for another server to run an idempotent request again."""
+SUBSTITUTES = 2
+"""Servers beside an object's own that are asked for spare room; more would push out objects that
+they know."""
 RETURN_S = 0.15
 """When a caller that was turned away may come back: a warm run frees a slot by then."""
 MIN_LEFT_S = 0.02
@@ -60,13 +64,16 @@
     def __init__(
         self,
         shared: Shared,
-        line: Line,
+        desk: Desk,
+        placement: Placement,
         request: CallerRequest,
         meta: RequestMeta,
         route: RouteRule,
     ) -> None:
         self._shared = shared
-        self._line = line
+        self._desk = desk
+        self._placement = placement
+        self._return_s = RETURN_S
         self._request = request
         self._meta = meta
         self._route = route
@@ -98,10 +105,11 @@
         while True:
             if self._is_quarantined():
                 return self._give_up("the request crashed servers")
-            server = await self._find_server()
-            if server is None:
+            place = await self._find_place()
+            if place is None:
                 return self._give_up("no server has room")
-            outcome = await self._try(server)
+            outcome = await self._try(place)
+            server = place.server
             if isinstance(outcome, Answer):
                 return outcome
             self.story.failures.append(outcome)
@@ -110,20 +118,48 @@
             if not self._may_try_again(outcome):
                 return self._give_up(outcome)
 
-    async def _find_server(self) -> Server | None:
+    async def _find_place(self) -> Place | None:
+        """A place at the object's own server, else at a substitute with spare room."""
+        candidates = self._candidates()
+        if not candidates:
+            return None
         started = now()
-        wait_s = self._route.aim_s * WAIT_SHARE
-        claim = Claim(self.service, self.object_key, self._route.regions)
-        ticket = Ticket(
-            claim,
-            self._route.rank,
+
+        async def find_other() -> Place | None:
+            for server in candidates[1:]:
+                place = await self._desk.acquire(server, self._want(is_substitute=True))
+                if isinstance(place, Place):
+                    return place
+            return None
+
+        try:
+            place = await self._desk.acquire(candidates[0], self._want(), find_other)
+            if isinstance(place, Place):
+                return place
+            self._return_s = max(RETURN_S, place.wait_s)
+            return await find_other()
+        finally:
+            self.story.waited_s += now() - started
+
+    def _want(self, is_substitute: bool = False) -> Want:
+        return Want(
+            rank=self._route.rank,
             aim_at=self._request.arrived_at + self._route.aim_s,
-            leave_at=min(started + wait_s, self._give_up_at),
-            avoid=self._avoid,
+            over_at=self._give_up_at,
+            object_key=self.object_key,
+            is_substitute=is_substitute,
         )
-        server = await self._line.wait(ticket)
-        self.story.waited_s += now() - started
-        return server
+
+    def _candidates(self) -> list[Server]:
+        """The first servers in the object's order that may get work."""
+        claim = Claim(self.service, self.object_key, self._route.regions)
+        at = now()
+        usable = (
+            server
+            for server in self._placement.order(claim)
+            if server.id not in self._avoid and server.may_get_work(at)
+        )
+        return list(itertools.islice(usable, 1 + SUBSTITUTES))
 
     def _find_key(self) -> str:
         if self._route.has_affinity and self._meta.object_key:
@@ -131,27 +167,29 @@
         # Without an object any server is as good: spread by the request itself.
         return (self._meta.request_id or b"").decode("latin-1")
 
-    async def _try(self, server: Server) -> Answer | str:
+    async def _try(self, place: Place) -> Answer | str:
         """One send: the answer for the caller, or why there is none."""
-        shared = self._shared
+        shared, server = self._shared, place.server
+        started, ran_s, running = now(), 0.0, -1
         self.story.servers.append(server.id)
         try:
             answer = await self._send(server)
+            kind = shared.dialect.read_answer(answer)
+            if answer.load:
+                running = answer.load.running + answer.load.waiting
+                shared.servers.note_load(server, answer.load.running, answer.load.waiting, now())
+            if kind not in (AnswerKind.NOT_RUN, AnswerKind.OTHER_SERVER):
+                ran_s = now() - started
+            return self._judge(server, answer, kind)
         except SendError as error:
             if error.failure == SendFailure.LOST:
                 await self._note_crash(server)
             return self._note_failed(server, error)
         finally:
-            shared.servers.note_end(server)
-            self._line.note_room()
-        kind = shared.dialect.read_answer(answer)
-        if answer.load:
-            shared.servers.note_load(server, answer.load.running, answer.load.waiting, now())
-        return self._judge(server, answer, kind)
+            self._desk.note_end(place, ran_s, running)
 
     async def _send(self, server: Server) -> ServerAnswer:
         shared = self._shared
-        # The line has counted the send already, so that no other request takes the same place.
         entry = server.entry
         connection = await shared.pool.acquire(entry, not self._route.is_idempotent)
         had_run = self.story.may_have_run
@@ -217,7 +255,7 @@
 
     def _can_repeat(self) -> bool:
         """Whether another server may run the request too, with time for it left."""
-        has_time = self._give_up_at - now() > self._route.aim_s * WAIT_SHARE
+        has_time = self._give_up_at - now() > self._route.aim_s * REPEAT_SHARE
         is_allowed = self._route.is_idempotent and self._sends < self._route.max_servers
         return is_allowed and has_time and self._shared.budget(self.service).left(now()) >= 1
 
@@ -245,7 +283,7 @@
     def _give_up(self, reason: str) -> Answer:
         """The final answer of a request that no server answered."""
         if not self.story.may_have_run:
-            return refuse(self._shared, reason, RETURN_S)
+            return refuse(self._shared, reason, self._return_s)
         status = 504 if reason == "out of time" else 502
         return Answer(status, [(b"Content-Type", b"text/plain")], b"no answer\n", reason)
 
--- a/papayalever/entry/follower.py
+++ b/papayalever/entry/follower.py
@@ -9,9 +9,9 @@
 from ..cluster.links import LinkPool
 from ..cluster.messages import Follow, FollowReply
 from ..routing.relays import InstanceEntry, Relays
+from .clock import now
 from .copy import StoreCopy
 from .feed import Feed, Source, StoreHealth
-from .shared import now
 
 WAIT_S = 0.6
 """How long a relay holds a question without news: the heartbeat of the domain."""
--- a/papayalever/entry/instance.py
+++ b/papayalever/entry/instance.py
@@ -1,7 +1,6 @@
 """One entry instance: starts its tasks, connects them and stops them gracefully."""
 
 import asyncio
-import math
 import signal
 import time
 from collections import Counter
@@ -14,24 +13,26 @@
 import msgspec
 
 from ..cluster.links import LinkPool, LinkServer
-from ..cluster.messages import Follow, KindNews
-from ..routing.choice import Chooser
-from ..routing.placement import Placement, rendezvous_score
+from ..cluster.messages import AskPlace, AwaitPlace, Follow, KindNews, ReturnPlace
+from ..routing.owners import Owners
+from ..routing.placement import Placement
+from ..routing.places import Places
 from ..routing.relays import InstanceEntry, Relays
 from ..routing.routes import CallerLimits, PartSplitter, RouteTable, RoutingConfig
-from ..routing.servers import Server, ServerEntry, ServerTable
+from ..routing.servers import ServerEntry, ServerTable
 from .caller import BodyMemory, CallerConnection, Handle
+from .clock import now
 from .copy import StoreCopy
 from .crashes import CRASH_KIND, Crashes
+from .desk import Desk
 from .exchange import Exchange, refuse
 from .feed import FeedError
 from .follower import Follower
-from .line import Line
 from .messages import Answer, CallerRequest, Look
 from .metrics import EntryMetrics
 from .pool import Pool
 from .settings import EntrySettings
-from .shared import Dialect, Shared, now
+from .shared import Dialect, Shared
 from .store_view import InstanceStore
 
 BACKLOG = 512
@@ -100,8 +101,6 @@
         )
         domains = Counter(settings.region_by_domain.values())
         self._placement = Placement(servers, settings.region, domains)
-        chooser = Chooser(self._placement, self._may_warm_up)
-        self.line = Line(servers, chooser.choose)
         self._callers: set[CallerConnection] = set()
         self._listeners: list[asyncio.Server] = []
         self._stop = asyncio.Event()
@@ -120,6 +119,10 @@
         self.follower = Follower(
             self._relays, self.copy, store, kinds, self._links, settings.seeds, rng
         )
+        self._owners = Owners()
+        self.desk = Desk(
+            self._relays.own, self._owners, servers, Places(self._cold_per_s), self._links
+        )
         self._peers = LinkServer(settings.peer_listener, self._handle_peer)
 
     @property
@@ -202,7 +205,7 @@
             "reads_store": float(follower.is_reading),
             "view_is_current": float(follower.is_current),
             "callers_connected": float(len(self._callers)),
-            "requests_waiting": float(len(self.line)),
+            "requests_waiting": float(len(self.desk)),
             "requests_sent": float(sum(item.in_flight for item in servers.server_by_id.values())),
             "body_bytes": float(self.shared.bodies.used),
             "server_connections_opened": float(self.shared.pool.opened),
@@ -229,7 +232,7 @@
         elif (route := shared.routes.match(request.host, request.path)) is None:
             answer = Answer(404, [], b"no route\n", "no route")
         else:
-            exchange = Exchange(shared, self.line, request, meta, route)
+            exchange = Exchange(shared, self.desk, self._placement, request, meta, route)
             try:
                 answer = await exchange.run()
             except asyncio.CancelledError:
@@ -289,7 +292,7 @@
                 continue
             if self.shared.routes.take(config):
                 log.info("configuration in force", version=config.version, revision=news.revision)
-                self.line.note_room()
+                self.desk.note_change()
 
     def _take_servers(self, news: KindNews) -> None:
         servers, is_after = self.shared.servers, news.is_after_outage
@@ -300,7 +303,7 @@
         else:
             for (name, _), entry in zip(news.changes, entries, strict=True):
                 self._take_server(name, entry, is_after)
-        self.line.note_room()
+        self.desk.note_change()
 
     def _take_server(self, name: str, entry: ServerEntry | None, is_after_outage: bool) -> None:
         if entry:
@@ -331,7 +334,7 @@
         cold_s = max((rule.cold_s for rule in rules), default=0.0)
         self.shared.servers.set_evacuated(domains, cold_s, now())
         log.info("evacuations", failure_domains=sorted(domains), revision=news.revision)
-        self.line.note_room()
+        self.desk.note_change()
 
     def _take_instances(self, news: KindNews) -> None:
         entry_by_name = {} if news.is_whole else dict(self._relays.entry_by_name)
@@ -344,6 +347,7 @@
             except (msgspec.ValidationError, msgspec.DecodeError) as error:
                 log.warning("instance entry refused", name=name, error=str(error))
         self._relays.replace_all(entry_by_name.values())
+        self._owners.set_instances(entry_by_name)
         self.shared.instances = max(1, len(entry_by_name))
         log.info("instances", count=len(entry_by_name), revision=news.revision)
 
@@ -359,6 +363,12 @@
     def _handle_peer(self, message: Any) -> Any:
         if isinstance(message, Follow):
             return self.follower.answer(message)
+        if isinstance(message, AskPlace):
+            return self.desk.handle_ask(message)
+        if isinstance(message, AwaitPlace):
+            return self.desk.handle_await(message)
+        if isinstance(message, ReturnPlace):
+            return self.desk.handle_return(message)
         log.warning("unknown message", type=type(message).__name__)
         return None
 
@@ -373,20 +383,10 @@
                 log.warning("not registered yet", error=str(error))
                 await asyncio.sleep(REGISTER_PAUSE_S)
 
-    def _may_warm_up(self, server: Server, at: float) -> bool:
-        """Whether this instance is among the few that may send to a cold server.
-
-        All together they stay at the rate that the server withstands; with views that differ for
-        a moment, at twice of it.
-        """
+    def _cold_per_s(self, service: str) -> float:
         config = self.shared.routes.config
-        rule = config.service_by_name.get(server.entry.service) if config else None
-        count = max(1, math.floor(rule.cold_per_s)) if rule else 1
-        entries = self._relays.entry_by_name.values()
-        near = [item.name for item in entries if item.region == server.entry.region]
-        names = near or [item.name for item in entries]
-        order = sorted(names, key=lambda name: rendezvous_score(server.id, name, 1.0))
-        return self.settings.instance in order[:count]
+        rule = config.service_by_name.get(service) if config else None
+        return rule.cold_per_s if rule else 1.0
 
     async def _sweep(self) -> None:
         while True:
@@ -429,5 +429,6 @@
         region=settings.region,
         peer_address=settings.peer_listener,
         caller_address=settings.caller_listener,
+        capacity=settings.cpu_share * settings.link_mbit_s,
         started_ms=started_ms,
     )
--- a/papayalever/entry/shared.py
+++ b/papayalever/entry/shared.py
@@ -1,6 +1,5 @@
 """What the requests of one entry instance share."""
 
-import asyncio
 import hashlib
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -57,11 +56,6 @@
         return budget
 
 
-def now() -> float:
-    """Monotonic seconds, the clock of the event loop."""
-    return asyncio.get_running_loop().time()
-
-
 def digest_request(host: str, method: bytes, target: bytes, body: bytes) -> str:
     """Digest of what a server would run."""
     hashed = hashlib.blake2b(digest_size=12)
--- /dev/null
+++ b/papayalever/routing/places.py
@@ -0,0 +1,218 @@
+"""Places at the servers that one instance owns: who may send to them, and in which order.
+
+Load patterns: more urgent work than slots for seconds, so that every answer would come late if all
+waited in the servers' own queues; servers that are cold and crash under a surge. The owner of a
+server counts all places of all instances and keeps one line for it. Requests that can still make
+their aim go first, the urgent ones first among them; who can not be served in time is told at once.
+
+Pure state: ``now`` is in seconds of the owner's monotonic clock.
+"""
+
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from itertools import count
+
+from ..cluster.messages import PlaceState
+from .servers import Server
+
+EXTRA_PLACES = 1
+"""Places over the slots: the next request is on its way while a slot gets free."""
+SPARE_SHARE = 0.5
+"""Part of its slots below which a server takes objects that another one knows."""
+FIRST_RUN_S = 0.3
+"""Guess of a server's run time before any answer: between a warm and a cold run."""
+RUN_WEIGHT = 0.15
+"""Weight of the newest run time in the mean; a mean over some seven runs."""
+LATE_PATIENCE = 1.0
+"""Of its aim's length: how long a request waits that can not make its aim any more."""
+REPORT_LIFE_S = 0.4
+"""A server's own count is heeded for so long."""
+KNOWN_OBJECTS = 24
+"""Objects that a server is taken to know; those of today keep 28 and more."""
+LEASE_MARGIN_S = 0.5
+"""A place of an instance that died is free so long after its request must be over."""
+
+PlaceId = tuple[str, int]
+
+
+@dataclass(eq=False, slots=True)
+class Ask:
+    """A request that wants a place."""
+
+    id: PlaceId
+    rank: int
+    asked_at: float
+    aim_at: float
+    lease_at: float
+    object_key: str = ""
+    is_substitute: bool = False
+    is_taken: bool = False
+    """The request is on its way, whatever the verdict."""
+
+    def order(self, run_s: float, now: float, number: int) -> tuple[bool, int, int]:
+        """Those that can make their aim first, then by urgency, then first come."""
+        return (now + run_s > self.aim_at, self.rank, number)
+
+
+@dataclass(eq=False, slots=True)
+class ServerPlaces:
+    """Places of one server."""
+
+    server: Server
+    lease_by_id: dict[PlaceId, float] = field(default_factory=dict)
+    waiting_by_id: dict[PlaceId, tuple[int, Ask]] = field(default_factory=dict)
+    run_s: float = FIRST_RUN_S
+    others: int = 0
+    """Requests at the server that nobody holds a place for."""
+    others_at: float = float("-inf")
+    cold_grants: list[float] = field(default_factory=list)
+    known_objects: OrderedDict[str, None] = field(default_factory=OrderedDict)
+    """Objects that it handled lately, the last one at the end."""
+
+    def note_object(self, key: str) -> None:
+        """Remember the object of a granted request."""
+        self.known_objects[key] = None
+        self.known_objects.move_to_end(key)
+        if len(self.known_objects) > KNOWN_OBJECTS:
+            self.known_objects.popitem(last=False)
+
+    def taken(self, now: float) -> int:
+        """Places that are in use."""
+        return len(self.lease_by_id) + (self.others if now - self.others_at < REPORT_LIFE_S else 0)
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """Answer to an ask; ``wait_s`` is the expected time until there is room."""
+
+    state: PlaceState
+    wait_s: float = 0.0
+
+
+@dataclass(slots=True)
+class Places:
+    """Places at all servers that this instance owns."""
+
+    cold_per_s: Callable[[str], float]
+    """Requests a second that a cold server of a service withstands."""
+    _places_by_server: dict[str, ServerPlaces] = field(default_factory=dict)
+    _server_by_id: dict[PlaceId, str] = field(default_factory=dict)
+    _numbers: count = field(default_factory=count)
+
+    def ask(self, server: Server, ask: Ask, now: float) -> Verdict:
+        """Grant a place, queue the ask or refuse it at once."""
+        places = self._find(server)
+        if ask.is_taken:
+            has_room = not places.waiting_by_id and self._has_room(places, now)
+            wait_s = self._expected_wait_s(places, ask, now)
+            self._grant(places, ask, now)
+            return Verdict(PlaceState.GRANTED if has_room else PlaceState.QUEUED, wait_s)
+        if ask.is_substitute:
+            is_known = ask.object_key in places.known_objects
+            has_spare = is_known or places.taken(now) < server.entry.slots * SPARE_SHARE
+            if places.waiting_by_id or not has_spare or not self._has_room(places, now):
+                return Verdict(PlaceState.REFUSED, places.run_s)
+            return self._grant(places, ask, now)
+        if not places.waiting_by_id and self._has_room(places, now):
+            return self._grant(places, ask, now)
+        wait_s = self._expected_wait_s(places, ask, now)
+        if now + wait_s > self._leave_at(places, ask, now + wait_s):
+            return Verdict(PlaceState.REFUSED, wait_s)
+        places.waiting_by_id[ask.id] = (next(self._numbers), ask)
+        self._server_by_id[ask.id] = server.id
+        return Verdict(PlaceState.QUEUED, wait_s)
+
+    def give_back(self, place: PlaceId, ran_s: float, running: int, now: float) -> None:
+        """Free a place or leave the line; ``running`` below 0 is no report."""
+        places = self._places_by_server.get(self._server_by_id.pop(place, ""))
+        if places is None:
+            return
+        places.waiting_by_id.pop(place, None)
+        if places.lease_by_id.pop(place, None) is None:
+            return
+        if ran_s > 0:
+            places.run_s += RUN_WEIGHT * (ran_s - places.run_s)
+        if running >= 0:
+            places.others = max(0, running - len(places.lease_by_id) - 1)
+            places.others_at = now
+
+    def settle(self, now: float) -> list[tuple[PlaceId, Verdict]]:
+        """Asks of all lines that are decided now: granted, or refused as too late."""
+        decided: list[tuple[PlaceId, Verdict]] = []
+        for places in self._places_by_server.values():
+            self._expire(places, now)
+            if places.waiting_by_id:
+                decided += self._settle_server(places, now)
+        return decided
+
+    def forget(self, known: set[str]) -> None:
+        """Drop servers that are gone and have no places left."""
+        for server_id in list(self._places_by_server):
+            places = self._places_by_server[server_id]
+            if server_id not in known and not places.lease_by_id and not places.waiting_by_id:
+                del self._places_by_server[server_id]
+
+    def _settle_server(self, places: ServerPlaces, now: float) -> list[tuple[PlaceId, Verdict]]:
+        decided: list[tuple[PlaceId, Verdict]] = []
+        line = sorted(
+            places.waiting_by_id.values(),
+            key=lambda item: item[1].order(places.run_s, now, item[0]),
+        )
+        for _, ask in line:
+            if self._has_room(places, now):
+                del places.waiting_by_id[ask.id]
+                decided.append((ask.id, self._grant(places, ask, now)))
+            elif now >= self._leave_at(places, ask, now):
+                del places.waiting_by_id[ask.id]
+                self._server_by_id.pop(ask.id, None)
+                decided.append((ask.id, Verdict(PlaceState.REFUSED, places.run_s)))
+        return decided
+
+    def _grant(self, places: ServerPlaces, ask: Ask, now: float) -> Verdict:
+        places.lease_by_id[ask.id] = ask.lease_at + LEASE_MARGIN_S
+        self._server_by_id[ask.id] = places.server.id
+        places.note_object(ask.object_key)
+        if places.server.is_cold(now):
+            places.cold_grants.append(now)
+        return Verdict(PlaceState.GRANTED)
+
+    def _has_room(self, places: ServerPlaces, now: float) -> bool:
+        server = places.server
+        if now < server.full_until or places.taken(now) >= server.entry.slots + EXTRA_PLACES:
+            return False
+        if not server.is_cold(now):
+            return True
+        places.cold_grants = [at for at in places.cold_grants if at > now - 1.0]
+        return len(places.cold_grants) < max(1, int(self.cold_per_s(server.entry.service)))
+
+    def _expected_wait_s(self, places: ServerPlaces, ask: Ask, now: float) -> float:
+        own = ask.order(places.run_s, now, 0)[:2]
+        ahead = sum(
+            1
+            for _, other in places.waiting_by_id.values()
+            if other.order(places.run_s, now, 0)[:2] <= own
+        )
+        slots = places.server.entry.slots
+        over = max(0, places.taken(now) - slots - EXTRA_PLACES + 1)
+        return (ahead + over) * places.run_s / slots
+
+    def _leave_at(self, places: ServerPlaces, ask: Ask, start: float) -> float:
+        """When an ask is refused: a late one waits for as long as its aim was."""
+        if start + places.run_s <= ask.aim_at:
+            return ask.aim_at
+        aim_s = max(0.1, ask.aim_at - ask.asked_at)
+        return min(ask.asked_at + LATE_PATIENCE * aim_s, ask.lease_at)
+
+    def _expire(self, places: ServerPlaces, now: float) -> None:
+        for place, lease_at in list(places.lease_by_id.items()):
+            if now > lease_at:
+                del places.lease_by_id[place]
+                self._server_by_id.pop(place, None)
+
+    def _find(self, server: Server) -> ServerPlaces:
+        places = self._places_by_server.get(server.id)
+        if places is None or places.server is not server:
+            places = ServerPlaces(server)
+            self._places_by_server[server.id] = places
+        return places
--- a/papayalever/routing/relays.py
+++ b/papayalever/routing/relays.py
@@ -21,6 +21,8 @@
     region: str
     peer_address: str
     caller_address: str
+    capacity: float
+    """Its part of a processor core times its share of the largest link, for what it can carry."""
     started_ms: int
     """Unix milliseconds of its start: the oldest is the most senior."""
 
--- a/papayalever/routing/servers.py
+++ b/papayalever/routing/servers.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum, auto
 
+CROWDED_S = 1.0
+"""How long the word of a crowded server is heeded: some four warm runs."""
 LOAD_LIFE_S = 0.4
 """A server's count of others' work is used for so long: about two runs of the shortest kind."""
 SHED_PAUSE_S = 0.1
@@ -57,7 +59,8 @@
     ejected_until: float = float("-inf")
     full_until: float = float("-inf")
     cold_until: float = float("-inf")
-    cold_sent_at: float = float("-inf")
+    crowded_until: float = float("-inf")
+    """Its owner or the server itself said lately that it has no room."""
     lapsed_until: float | None = None
     """The entry was gone after an outage of the store; until then it may come back."""
     pace: float = 1.0
@@ -164,14 +167,21 @@
         """Take a server's own count; it was made before its answer left, own work included."""
         server.others = max(0, running + waiting - server.in_flight)
         server.others_at = now
+        if running + waiting > server.entry.slots:
+            self.note_crowded(server, now)
 
     def note_success(self, server: Server) -> None:
         """A whole answer came."""
         server.failures = 0
 
+    def note_crowded(self, server: Server, now: float) -> None:
+        """There is no room: ask before the next send."""
+        server.crowded_until = now + CROWDED_S
+
     def note_full(self, server: Server, now: float) -> None:
         """The server refused: it has no room."""
         server.full_until = now + SHED_PAUSE_S
+        self.note_crowded(server, now)
 
     def note_failure(self, server: Server, now: float) -> None:
         """The server could not be reached or broke off: leave it for a growing time."""
