--- a/papayalever/entry/caller.py
+++ b/papayalever/entry/caller.py
@@ -147,6 +147,12 @@
         if self._transport:
             self._transport.close()
 
+    def abort(self) -> None:
+        """Close at once."""
+        self._is_ending = True
+        if self._transport:
+            self._transport.abort()
+
     # Parser.
 
     def on_message_begin(self) -> None:
--- a/papayalever/entry/exchange.py
+++ b/papayalever/entry/exchange.py
@@ -53,6 +53,8 @@
     """What happened to a request, for its log line."""
 
     servers: list[str] = field(default_factory=list)
+    loads: list[int] = field(default_factory=list)
+    """Requests at each server when it was chosen, as far as this instance knew."""
     failures: list[str] = field(default_factory=list)
     may_have_run: bool = False
     waited_s: float = 0.0
@@ -87,10 +89,20 @@
         self._sends = 0
         self.story = Story()
 
-    @property
-    def rank(self) -> int:
-        """Urgency of the request."""
-        return self._route.rank
+    def describe(self) -> dict:
+        """What decided the request's fate, for its log line."""
+        story = self.story
+        return {
+            "route": self._route.name,
+            "rank": self._route.rank,
+            "service": self.service,
+            "object": self.object_key,
+            "waited_ms": round(story.waited_s * 1000, 1),
+            "servers": story.servers,
+            "loads": story.loads,
+            "failures": story.failures,
+            "may_have_run": story.may_have_run,
+        }
 
     async def run(self) -> Answer:
         """The answer for the caller; never raises but for cancellation."""
@@ -172,6 +184,7 @@
         shared, server = self._shared, place.server
         started, ran_s, running = now(), 0.0, -1
         self.story.servers.append(server.id)
+        self.story.loads.append(server.load(started))
         try:
             answer = await self._send(server)
             kind = shared.dialect.read_answer(answer)
--- a/papayalever/entry/instance.py
+++ b/papayalever/entry/instance.py
@@ -28,7 +28,7 @@
 from .exchange import Exchange, refuse
 from .feed import FeedError
 from .follower import Follower
-from .messages import Answer, CallerRequest, Look
+from .messages import Answer, CallerRequest, Look, RequestMeta
 from .metrics import EntryMetrics
 from .pool import Pool
 from .settings import EntrySettings
@@ -102,9 +102,12 @@
         domains = Counter(settings.region_by_domain.values())
         self._placement = Placement(servers, settings.region, domains)
         self._callers: set[CallerConnection] = set()
+        self._connections: set[CallerConnection] = set()
+        """Those of callers and of who asks for readiness, directory and metrics."""
         self._listeners: list[asyncio.Server] = []
         self._stop = asyncio.Event()
         self.is_leaving = False
+        self._is_listening = False
         self._take_by_kind: dict[str, Callable[[KindNews], None]] = {
             reader.config_kind: self._take_config,
             reader.server_kind: self._take_servers,
@@ -128,7 +131,8 @@
     @property
     def is_ready(self) -> bool:
         """Whether callers should use this instance."""
-        return self.copy.is_complete and self.shared.routes.version > 0 and not self.is_leaving
+        knows = self.copy.is_complete and self.shared.routes.version > 0
+        return knows and self._is_listening and not self.is_leaving
 
     def request_stop(self) -> None:
         """Begin a graceful shutdown."""
@@ -151,6 +155,7 @@
             await self._listen(
                 settings.directory_listener, self._handle_look, lambda: OWN_LIMITS, False
             )
+        self._is_listening = True
         log.info("started", instance=settings.instance, failure_domain=settings.failure_domain)
         try:
             await self._stop.wait()
@@ -158,8 +163,19 @@
         finally:
             for task in tasks:
                 task.cancel()
+            await self.abort()
             log.info("stopped", instance=settings.instance)
 
+    async def abort(self) -> None:
+        """Drop every connection and listener, as when the process ends."""
+        for listener in self._listeners:
+            listener.close()
+        for connection in list(self._connections):
+            connection.abort()
+        await self._peers.close()
+        await self._links.close()
+        self.shared.pool.sweep(set())
+
     # Listeners.
 
     async def _listen(
@@ -168,17 +184,21 @@
         host, port = address.rsplit(":", 1)
 
         def build() -> CallerConnection:
-            on_open = self._note_open if is_front else _ignore
-            on_close = self._callers.discard if is_front else _ignore
-            return CallerConnection(handle, limits, on_open, on_close, self.shared.bodies)
+            on_open = self._note_caller if is_front else self._connections.add
+            return CallerConnection(handle, limits, on_open, self._note_closed, self.shared.bodies)
 
         loop = asyncio.get_running_loop()
         server = await loop.create_server(build, host, int(port), backlog=BACKLOG)
         self._listeners.append(server)
         return server
 
-    def _note_open(self, connection: CallerConnection) -> None:
+    def _note_closed(self, connection: CallerConnection) -> None:
+        self._callers.discard(connection)
+        self._connections.discard(connection)
+
+    def _note_caller(self, connection: CallerConnection) -> None:
         self._callers.add(connection)
+        self._connections.add(connection)
         if self.is_leaving:
             connection.is_draining = True
 
@@ -221,62 +241,56 @@
         return Answer(200, [(b"Content-Type", b"application/json")], msgspec.json.encode(body))
 
     async def _handle(self, request: CallerRequest) -> Answer:
-        shared = self.shared
         started = now()
-        meta = shared.dialect.read_request(request.headers)
-        exchange: Exchange | None = None
-        if shared.routes.config is None:
-            answer = refuse(shared, "no configuration is known yet", RETURN_UNKNOWN_S)
-        elif meta.request_id is None or not request.target.startswith(b"/"):
-            answer = Answer(400, [], b"the request has no id or no path\n", "malformed")
-        elif (route := shared.routes.match(request.host, request.path)) is None:
-            answer = Answer(404, [], b"no route\n", "no route")
-        else:
-            exchange = Exchange(shared, self.desk, self._placement, request, meta, route)
-            try:
-                answer = await exchange.run()
-            except asyncio.CancelledError:
-                self._log_request(request, exchange, 0, "caller left", started)
-                raise
-        if meta.request_id:
-            answer.headers = [item for item in answer.headers if item[0] != b"attempt-id"]
-        self._log_request(request, exchange, answer.status, answer.reason, started)
+        meta = self.shared.dialect.read_request(request.headers)
+        exchange = self._open_exchange(request, meta)
+        if isinstance(exchange, Answer):
+            self._log_answer(request, meta, exchange, started)
+            return exchange
+        try:
+            answer = await exchange.run()
+        except asyncio.CancelledError:
+            self._log_answer(request, meta, Answer(0, reason="caller left"), started, exchange)
+            raise
+        self._log_answer(request, meta, answer, started, exchange)
         return answer
 
-    def _log_request(
+    def _open_exchange(self, request: CallerRequest, meta: RequestMeta) -> Exchange | Answer:
+        """The work on a request, or the answer to one that goes no further."""
+        shared = self.shared
+        if shared.routes.config is None:
+            return refuse(shared, "no configuration is known yet", RETURN_UNKNOWN_S)
+        if meta.request_id is None or not request.target.startswith(b"/"):
+            return Answer(400, [], b"the request has no id or no path\n", "malformed")
+        route = shared.routes.match(request.host, request.path)
+        if route is None:
+            return Answer(404, [], b"no route\n", "no route")
+        return Exchange(shared, self.desk, self._placement, request, meta, route)
+
+    def _log_answer(
         self,
         request: CallerRequest,
-        exchange: Exchange | None,
-        status: int,
-        reason: str,
+        meta: RequestMeta,
+        answer: Answer,
         started: float,
+        exchange: Exchange | None = None,
     ) -> None:
-        story = exchange.story if exchange else None
-        rank = f"rank {exchange.rank}" if exchange else "no route"
-        self.metrics.count("answers", f"{status} {reason}".strip())
-        self.metrics.time("request", rank, now() - started)
-        if story:
-            self.metrics.time("wait", rank, story.waited_s)
+        fields = exchange.describe() if exchange else {"rank": "none"}
+        took_s = now() - started
+        self.metrics.count("answers", f"{answer.status} {answer.reason}".strip())
+        self.metrics.time("request", f"rank {fields['rank']}", took_s)
+        if exchange:
+            self.metrics.time("wait", f"rank {fields['rank']}", exchange.story.waited_s)
         log.info(
             "request",
-            id=next(
-                (
-                    value.decode("latin-1")
-                    for name, value in request.headers
-                    if name == b"attempt-id"
-                ),
-                "",
-            ),
+            id=(meta.request_id or b"").decode("latin-1"),
             target=request.target.decode("latin-1"),
-            object=exchange.object_key if exchange else "",
-            service=exchange.service if exchange else "",
             config=self.shared.routes.version,
-            status=status,
-            reason=reason,
-            ms=round((now() - started) * 1000, 1),
-            waited_ms=round(story.waited_s * 1000, 1) if story else 0,
-            servers=story.servers if story else [],
-            failures=story.failures if story else [],
+            status=answer.status,
+            reason=answer.reason,
+            ms=round(took_s * 1000, 1),
+            view_is_current=self.follower.is_current,
+            **fields,
         )
 
     # What the store says.
@@ -418,10 +432,6 @@
             await asyncio.sleep(0.02)
 
 
-def _ignore(_: CallerConnection) -> None:
-    """For listeners whose connections nobody counts."""
-
-
 def _own_entry(settings: EntrySettings, started_ms: int) -> InstanceEntry:
     return InstanceEntry(
         name=settings.instance,
--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,453 @@
+"""Decisions of an entry instance replayed in virtual time: placement, places, owners, views."""
+
+import asyncio
+import heapq
+import itertools
+import unittest
+from collections import Counter
+from random import Random
+
+from papayalever.cluster.messages import KindNews, PlaceState
+from papayalever.entry.copy import HISTORY, StoreCopy
+from papayalever.routing.budget import RepeatBudget
+from papayalever.routing.owners import PASSED_OVER_S, Owners
+from papayalever.routing.placement import Claim, Placement, share_regions
+from papayalever.routing.places import Ask, Places
+from papayalever.routing.relays import SUSPECT_S, InstanceEntry, Relays
+from papayalever.routing.routes import (
+    CallerLimits,
+    Part,
+    PartSplitter,
+    RouteRule,
+    RouteTable,
+    RoutingConfig,
+)
+from papayalever.routing.servers import OUTAGE_GRACE_S, Phase, Server, ServerEntry, ServerTable
+
+SEED = 11
+REGION_OF = {"noord-a": "noord", "noord-b": "noord", "midden-a": "midden", "zuid-a": "zuid"}
+COLD_RUN_S = 0.64
+WARM_RUN_S = 0.19
+AIM_S = 0.5
+
+
+def server_entry(number: int, domain: str = "noord-a", **changes) -> ServerEntry:
+    fields = {
+        "id": f"i-{number}",
+        "service": "logboek",
+        "address": f"10.0.0.{number}:80",
+        "failure_domain": domain,
+        "region": REGION_OF[domain],
+        "slots": 3,
+        "started_ms": 1,
+    }
+    return ServerEntry(**(fields | changes))
+
+
+def instance_entry(name: str, domain: str = "noord-a", started_ms: int = 1) -> InstanceEntry:
+    return InstanceEntry(name, domain, REGION_OF[domain], f"{name}:1", f"{name}:2", 1.0, started_ms)
+
+
+def table_of(counts: dict[str, int]) -> ServerTable:
+    table = ServerTable()
+    numbers = itertools.count(1)
+    for domain, count in counts.items():
+        for _ in range(count):
+            table.put(server_entry(next(numbers), domain), 0.0)
+    return table
+
+
+def route(name: str, prefix: str, **changes) -> RouteRule:
+    fields = {
+        "name": name,
+        "host": "a.example",
+        "prefix": prefix,
+        "is_idempotent": True,
+        "timeout_s": 2.0,
+        "aim_s": AIM_S,
+        "rank": 0,
+        "max_servers": 2,
+        "parts": (Part("logboek", 1.0),),
+        "has_affinity": True,
+    }
+    return RouteRule(**(fields | changes))
+
+
+class TestRoutes(unittest.TestCase):
+    def test_longest_prefix_of_the_host_wins(self):
+        table = RouteTable()
+        routes = (route("a", "/x/"), route("b", "/x/y/"), route("c", "/x/y/", host="b.example"))
+        table.take(RoutingConfig(1, routes, {}, CallerLimits()))
+        self.assertEqual("b", table.match("A.example:80", "/x/y/z").name)
+        self.assertEqual("a", table.match("a.example", "/x/yy").name)
+        self.assertIsNone(table.match("a.example", "/x"))
+
+    def test_version_never_goes_back(self):
+        table = RouteTable()
+        self.assertTrue(table.take(RoutingConfig(7, (), {}, CallerLimits())))
+        self.assertFalse(table.take(RoutingConfig(6, (), {}, CallerLimits())))
+        self.assertFalse(table.take(RoutingConfig(7, (), {}, CallerLimits())))
+        self.assertEqual(7, table.version)
+
+    def test_parts_get_their_weights_in_any_run_of_requests(self):
+        splitter = PartSplitter()
+        rule = route("a", "/", parts=(Part("x", 90), Part("y", 10)))
+        chosen = [splitter.choose(rule) for _ in range(200)]
+        for start in range(0, 180, 7):
+            share = chosen[start : start + 20].count("y")
+            self.assertTrue(1 <= share <= 3, share)
+
+
+class TestPlacement(unittest.TestCase):
+    def test_instances_of_a_region_agree_without_a_message(self):
+        counts = {"noord-a": 5, "noord-b": 5, "midden-a": 2}
+        first, second = (
+            Placement(table_of(counts), "noord", {"noord": 2, "midden": 2}) for _ in range(2)
+        )
+        for number in range(50):
+            claim = Claim("logboek", f"o{number}", frozenset())
+            ids = [server.id for server in first.order(claim)]
+            self.assertEqual(ids, [server.id for server in second.order(claim)])
+
+    def test_server_that_leaves_moves_only_its_own_objects(self):
+        table = table_of({"noord-a": 10})
+        placement = Placement(table, "noord", {"noord": 1})
+        claims = [Claim("logboek", f"o{number}", frozenset()) for number in range(300)]
+        before = {claim: placement.order(claim)[0].id for claim in claims}
+        table.remove("i-3", False, 0.0)
+        after = {claim: placement.order(claim)[0].id for claim in claims}
+        moved = [claim for claim in claims if before[claim] != after[claim]]
+        self.assertTrue(moved)
+        self.assertEqual({"i-3"}, {before[claim] for claim in moved})
+
+    def test_region_with_few_servers_sends_the_rest_where_there_is_room(self):
+        servers = table_of({"noord-a": 10, "midden-a": 2, "zuid-a": 8}).servers("logboek")
+        demand = {"noord": 2, "midden": 2, "zuid": 2}
+        shares = share_regions(servers, demand, "midden")
+        self.assertAlmostEqual(0.3, shares["midden"], 2)
+        self.assertGreater(shares["noord"], shares["zuid"])
+        self.assertAlmostEqual(1.0, sum(shares.values()))
+        self.assertEqual(1.0, share_regions(servers, demand, "noord")["noord"])
+
+    def test_emptied_domains_and_other_regions_are_left_out(self):
+        table = table_of({"noord-a": 2, "noord-b": 2, "midden-a": 2})
+        placement = Placement(table, "noord", {"noord": 2, "midden": 1})
+        table.set_evacuated({"noord-a"}, 3.0, 0.0)
+        order = placement.order(Claim("logboek", "o", frozenset({"noord"})))
+        self.assertEqual({"noord-b"}, {server.entry.failure_domain for server in order})
+
+
+class TestServerTable(unittest.TestCase):
+    def test_restart_under_the_same_id_forgets_what_was_known(self):
+        table = table_of({"noord-a": 1})
+        known = table.server_by_id["i-1"]
+        table.note_failure(known, 5.0)
+        table.put(server_entry(1, started_ms=2, cold_left_s=3.0), 6.0)
+        fresh = table.server_by_id["i-1"]
+        self.assertIsNot(known, fresh)
+        self.assertTrue(fresh.may_get_work(6.0))
+        self.assertTrue(fresh.is_cold(8.9) and not fresh.is_cold(9.1))
+
+    def test_entry_that_lapsed_in_an_outage_gets_its_grace_and_a_leaving_one_does_not(self):
+        table = table_of({"noord-a": 3})
+        table.put(server_entry(2, phase=Phase.LEAVING), 0.0)
+        table.replace_all([server_entry(3)], True, 10.0)
+        self.assertEqual({"i-1", "i-3"}, set(table.server_by_id))
+        self.assertEqual([], table.drop_lapsed(10.0 + OUTAGE_GRACE_S - 0.1))
+        self.assertEqual(["i-1"], table.drop_lapsed(10.0 + OUTAGE_GRACE_S + 0.1))
+        table.replace_all([], False, 20.0)
+        self.assertEqual({}, table.server_by_id)
+
+    def test_lapsed_entry_that_is_written_again_stays(self):
+        table = table_of({"noord-a": 1})
+        table.replace_all([], True, 10.0)
+        table.put(server_entry(1), 11.0)
+        self.assertEqual([], table.drop_lapsed(20.0))
+
+    def test_domain_that_is_taken_back_starts_cold(self):
+        table = table_of({"noord-a": 1, "noord-b": 1})
+        table.set_evacuated({"noord-a"}, 3.0, 0.0)
+        table.set_evacuated(set(), 3.0, 10.0)
+        self.assertTrue(table.server_by_id["i-1"].is_cold(12.0))
+        self.assertFalse(table.server_by_id["i-2"].is_cold(12.0))
+
+    def test_failing_server_is_left_for_a_growing_time(self):
+        table = table_of({"noord-a": 1})
+        server = table.server_by_id["i-1"]
+        table.note_failure(server, 0.0)
+        self.assertFalse(server.may_get_work(0.4))
+        self.assertTrue(server.may_get_work(0.6))
+        table.note_failure(server, 1.0)
+        self.assertFalse(server.may_get_work(1.9))
+        table.note_success(server)
+        table.note_failure(server, 3.0)
+        self.assertTrue(server.may_get_work(3.6))
+
+
+class Replay:
+    """One server with its places under a stream of requests, in virtual time."""
+
+    def __init__(self, run_s: float) -> None:
+        self.places = Places(lambda _: 2.6)
+        self.server = Server(server_entry(1))
+        self.run_s = run_s
+        self.outcomes: Counter[str] = Counter()
+        self.held_s: list[float] = []
+        self.most_taken = 0
+        self._events: list[tuple] = []
+        self._numbers = itertools.count()
+        self._aim_by_id: dict = {}
+
+    def play(self, requests: list[tuple[float, int]]) -> None:
+        for at, rank in requests:
+            self._push(at, "ask", rank)
+        while self._events:
+            now, _, kind, value = heapq.heappop(self._events)
+            if kind == "ask":
+                self._ask(now, value)
+            elif kind == "end":
+                self.places.give_back(value, self.run_s, -1, now)
+            for place, verdict in self.places.settle(now):
+                self._decide(now, place, verdict.state)
+            if kind == "tick" and self._events:
+                continue
+            if not any(event[2] == "tick" for event in self._events) and self._events:
+                self._push(now + 0.02, "tick", None)
+
+    def _push(self, at: float, kind: str, value) -> None:
+        heapq.heappush(self._events, (at, next(self._numbers), kind, value))
+
+    def _ask(self, now: float, rank: int) -> None:
+        ask = Ask(("edge", next(self._numbers)), rank, now, now + AIM_S, now + 2.0)
+        self._aim_by_id[ask.id] = (rank, now)
+        self._decide(now, ask.id, self.places.ask(self.server, ask, now).state)
+
+    def _decide(self, now: float, place, state: PlaceState) -> None:
+        rank, asked = self._aim_by_id[place]
+        if state == PlaceState.GRANTED:
+            in_aim = now + self.run_s <= asked + AIM_S
+            self.outcomes[f"rank {rank} {'in aim' if in_aim else 'late'}"] += 1
+            self._push(now + self.run_s, "end", place)
+        elif state == PlaceState.REFUSED:
+            self.outcomes[f"rank {rank} refused"] += 1
+            self.held_s.append(now - asked)
+
+
+class TestPlaces(unittest.TestCase):
+    def flood(self, per_s: dict[int, float], seconds: float = 20.0) -> Replay:
+        chance = Random(SEED)
+        requests = sorted(
+            (chance.uniform(0, seconds), rank)
+            for rank, rate in per_s.items()
+            for _ in range(int(rate * seconds))
+        )
+        replay = Replay(WARM_RUN_S)
+        replay.play(requests)
+        return replay
+
+    def test_flood_of_urgent_work_keeps_most_answers_in_their_aim(self):
+        # Three slots run 15.8 a second; a line that all wait in makes every answer late.
+        replay = self.flood({0: 24.0})
+        in_aim, late = replay.outcomes["rank 0 in aim"], replay.outcomes["rank 0 late"]
+        self.assertGreater(in_aim, 0.85 * 15.8 * 20)
+        self.assertLess(late, 0.2 * in_aim)
+
+    def test_what_can_not_be_served_is_refused_at_once(self):
+        replay = self.flood({0: 40.0})
+        at_once = sum(held <= AIM_S / 8 for held in replay.held_s)
+        self.assertGreater(at_once, 0.6 * len(replay.held_s))
+
+    def test_urgent_work_goes_first_and_the_rest_is_not_starved_below_its_slots(self):
+        replay = self.flood({0: 8.0, 1: 16.0})
+        urgent = replay.outcomes["rank 0 in aim"] / (8.0 * 20)
+        other = replay.outcomes["rank 1 in aim"] / (16.0 * 20)
+        self.assertGreater(urgent, 0.95)
+        self.assertGreater(other, 0.25)
+
+    def test_line_holds_no_more_places_than_slots_and_one(self):
+        places, server = Places(lambda _: 2.6), Server(server_entry(1))
+        states = [
+            places.ask(server, Ask(("e", n), 0, 0.0, AIM_S, 2.0), 0.0).state for n in range(6)
+        ]
+        self.assertEqual(4, states.count(PlaceState.GRANTED))
+
+    def test_cold_server_gets_its_rate_however_many_ask(self):
+        places, server = Places(lambda _: 2.6), Server(server_entry(1))
+        server.cold_until = 3.0
+        granted: list[float] = []
+        for step in range(300):
+            now = step / 100
+            ask = Ask((f"e{step % 20}", step), 0, now, now + AIM_S, now + 2.0)
+            verdict = places.ask(server, ask, now)
+            decided = [(ask.id, verdict), *places.settle(now)]
+            for place, item in decided:
+                if item.state == PlaceState.GRANTED:
+                    granted.append(now)
+                    places.give_back(place, 0.01, -1, now)
+        for start in granted:
+            self.assertLessEqual(sum(start <= at < start + 1.0 for at in granted), 3)
+        self.assertGreaterEqual(len(granted), 5)
+
+    def test_place_of_an_instance_that_died_is_free_after_its_lease(self):
+        places, server = Places(lambda _: 2.6), Server(server_entry(1))
+        for number in range(4):
+            places.ask(server, Ask(("dead", number), 0, 0.0, AIM_S, 2.0), 0.0)
+        late = Ask(("e", 1), 0, 2.4, 2.9, 4.4)
+        self.assertEqual(PlaceState.QUEUED, places.ask(server, late, 2.4).state)
+        self.assertEqual([("e", 1)], [place for place, _ in places.settle(2.6)])
+
+    def test_substitute_gives_spare_room_or_room_for_what_it_knows(self):
+        places, server = Places(lambda _: 2.6), Server(server_entry(1))
+
+        def ask(number: int, key: str, is_substitute: bool) -> PlaceState:
+            item = Ask(("e", number), 0, 0.0, AIM_S, 2.0, key, is_substitute)
+            return places.ask(server, item, 0.0).state
+
+        self.assertEqual(PlaceState.GRANTED, ask(1, "known", True))
+        self.assertEqual(PlaceState.GRANTED, ask(2, "other", False))
+        self.assertEqual(PlaceState.REFUSED, ask(3, "new", True))
+        self.assertEqual(PlaceState.GRANTED, ask(4, "known", True))
+
+    def test_requests_that_nobody_holds_a_place_for_count(self):
+        places, server = Places(lambda _: 2.6), Server(server_entry(1))
+        places.ask(server, Ask(("e", 1), 0, 0.0, AIM_S, 2.0), 0.0)
+        places.give_back(("e", 1), 0.2, 6, 0.2)
+        self.assertEqual(
+            PlaceState.QUEUED, places.ask(server, Ask(("e", 2), 0, 0.3, 0.8, 2.0), 0.3).state
+        )
+        self.assertEqual(1, len(places.settle(0.7)))
+
+
+class TestOwners(unittest.TestCase):
+    def test_all_instances_name_the_same_owner_near_the_server(self):
+        entries = {f"e{n}": instance_entry(f"e{n}", "noord-a") for n in range(9)}
+        entries |= {f"m{n}": instance_entry(f"m{n}", "midden-a") for n in range(9)}
+        first, second = Owners(), Owners()
+        first.set_instances(entries)
+        second.set_instances(dict(reversed(entries.items())))
+        for number in range(20):
+            server = server_entry(number)
+            owner = first.find(server, 0.0)
+            self.assertEqual(owner, second.find(server, 0.0))
+            self.assertEqual("noord-a", owner.failure_domain)
+
+    def test_owner_that_does_not_answer_is_passed_over_until_it_restarts(self):
+        owners, server = Owners(), server_entry(1)
+        entries = {f"e{n}": instance_entry(f"e{n}") for n in range(3)}
+        owners.set_instances(entries)
+        first = owners.find(server, 0.0)
+        owners.pass_over(first.name, 0.0)
+        self.assertNotEqual(first.name, owners.find(server, 0.1).name)
+        self.assertEqual(first, owners.find(server, PASSED_OVER_S + 0.1))
+        owners.pass_over(first.name, 10.0)
+        restarted = instance_entry(first.name, started_ms=99)
+        owners.set_instances(entries | {first.name: restarted})
+        self.assertEqual(restarted, owners.find(server, 10.1))
+
+    def test_server_of_an_empty_domain_has_an_owner_elsewhere(self):
+        owners = Owners()
+        owners.set_instances({"m1": instance_entry("m1", "midden-a")})
+        self.assertEqual("m1", owners.find(server_entry(1), 0.0).name)
+
+
+class TestRelays(unittest.TestCase):
+    def build(self, own: str) -> Relays:
+        entries = [
+            instance_entry("a1", started_ms=1),
+            instance_entry("a2", started_ms=2),
+            instance_entry("a3", started_ms=3),
+            instance_entry("b1", "noord-b", 5),
+            instance_entry("m1", "midden-a", 0),
+        ]
+        relays = Relays(next(entry for entry in entries if entry.name == own))
+        relays.replace_all(entries)
+        return relays
+
+    def test_most_senior_of_a_domain_reads_the_store(self):
+        self.assertTrue(self.build("a1").is_relay(0.0))
+        follower = self.build("a3")
+        self.assertFalse(follower.is_relay(0.0))
+        self.assertEqual(["a1", "b1"], [item.name for item in follower.candidates(0.0)])
+
+    def test_silent_relay_is_replaced_by_seniority_and_tried_again(self):
+        second, third = self.build("a2"), self.build("a3")
+        for relays in (second, third):
+            relays.suspect("a1", 10.0)
+        self.assertTrue(second.is_relay(10.1))
+        self.assertEqual("a2", third.candidates(10.1)[0].name)
+        self.assertFalse(second.is_relay(10.1 + SUSPECT_S))
+
+
+class TestRepeatBudget(unittest.TestCase):
+    def test_all_instances_together_stay_within_the_bound_in_any_window(self):
+        chance = Random(SEED)
+        budgets = [RepeatBudget(0.2, 124.0, 10.0, instances=22) for _ in range(22)]
+        requests: list[float] = []
+        repeats: list[float] = []
+        for step in range(30_000):
+            now = step / 1000
+            budget = chance.choice(budgets)
+            budget.note_request(now)
+            requests.append(now)
+            for _ in range(3):
+                if budget.take(now):
+                    repeats.append(now)
+        for end in range(10, 30):
+            count = sum(end - 10 < at <= end for at in repeats)
+            allowed = 0.2 * sum(end - 10 < at <= end for at in requests) + 124
+            self.assertLessEqual(count, allowed)
+        self.assertGreater(len(repeats), 1000)
+
+
+class TestStoreCopy(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.taken: list[KindNews] = []
+        self.copy = StoreCopy(("servers", "config"), self.taken.append)
+
+    def test_older_news_are_not_taken(self):
+        self.assertTrue(self.copy.apply(KindNews("servers", 9, True, [("a", b"1")])))
+        self.assertFalse(self.copy.apply(KindNews("servers", 8, True, [])))
+        self.assertFalse(self.copy.apply(KindNews("unknown", 10, True, [])))
+        self.assertEqual(1, len(self.taken))
+
+    def test_follower_gets_changes_or_the_whole(self):
+        self.copy.apply(KindNews("servers", 5, True, [("a", b"1")]))
+        self.copy.apply(KindNews("servers", 6, False, [("b", b"2")]))
+        self.copy.apply(KindNews("servers", 8, False, [("a", None)]))
+        (whole,) = self.copy.since({})
+        self.assertEqual((True, 8, [("b", b"2")]), (whole.is_whole, whole.revision, whole.changes))
+        (later,) = self.copy.since({"servers": 6, "config": 0})
+        self.assertEqual((False, [("a", None)]), (later.is_whole, later.changes))
+        self.assertEqual([], self.copy.since({"servers": 8}))
+
+    def test_history_is_bounded_and_who_is_behind_gets_the_whole(self):
+        self.copy.apply(KindNews("servers", 1, True, []))
+        for revision in range(2, HISTORY + 50):
+            self.copy.apply(KindNews("servers", revision, False, [("a", b"%d" % revision)]))
+        self.assertTrue(self.copy.since({"servers": 3})[0].is_whole)
+        self.assertFalse(self.copy.since({"servers": HISTORY})[0].is_whole)
+
+    def test_two_copies_agree_after_any_exchange(self):
+        chance = Random(SEED)
+        other = StoreCopy(("servers", "config"), lambda _: None)
+        revision = 1
+        self.copy.apply(KindNews("servers", revision, True, []))
+        for _ in range(600):
+            revision += chance.randint(1, 3)
+            value = chance.choice([None, b"%d" % revision])
+            self.copy.apply(
+                KindNews("servers", revision, False, [(f"n{chance.randint(0, 5)}", value)])
+            )
+            if chance.random() < 0.2:
+                for news in self.copy.since(other.revision_by_kind):
+                    other.apply(news)
+        for news in self.copy.since(other.revision_by_kind):
+            other.apply(news)
+        first, second = self.copy.since({}), other.since({})
+        self.assertEqual(dict(first[0].changes), dict(second[0].changes))
+
+    async def test_waiting_ends_with_a_change(self):
+        waiting = asyncio.create_task(self.copy.wait_change(5.0))
+        await asyncio.sleep(0)
+        self.copy.apply(KindNews("servers", 1, True, [("a", b"1")]))
+        await asyncio.wait_for(waiting, 1.0)
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,200 @@
+"""The adapter: settings, objects and headers of the platform become types of our own."""
+
+import json
+import re
+import unittest
+from pathlib import Path
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from papayalever.entry.messages import AnswerKind, Look, ServerAnswer, ServerLoad
+from papayalever.platform import objects, wire
+from papayalever.platform.boot import BootError, parse_boot
+from papayalever.routing.servers import Phase
+
+from .support.platform import REGIONS, FakeServer, boot_text, configuration, dump
+
+FUZZ = settings(max_examples=300, derandomize=True, deadline=None, database=None)
+ROOT = Path(__file__).parents[1]
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(max_size=9),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=9), inner),
+    max_leaves=6,
+)
+
+
+class TestBoot(unittest.TestCase):
+    def test_fields_of_the_platform_become_settings(self):
+        read = parse_boot(boot_text("edge-1", "10.1.0.35", "noord-a", "10.200.1.7:8142"))
+        self.assertEqual(
+            ("edge-1", "noord-a", "noord"), (read.instance, read.failure_domain, read.region)
+        )
+        self.assertEqual(REGIONS, read.region_by_domain)
+        self.assertEqual(
+            ("10.1.0.35:8144", "10.1.0.35:8146"), (read.caller_listener, read.peer_listener)
+        )
+        self.assertEqual(
+            (2.5, 6.0, 124.0), (read.bounds.drain_s, read.bounds.stop_s, read.bounds.repeat_extra)
+        )
+
+    def test_missing_field_is_named(self):
+        text = boot_text("edge-1", "10.1.0.35", "noord-a", "10.200.1.7:8142")
+        with self.assertRaisesRegex(BootError, "provider.address"):
+            parse_boot(text.replace("provider.address", "provider.other"))
+
+    @FUZZ
+    @given(st.text(max_size=200))
+    def test_any_text_is_settings_or_a_clear_error(self, text):
+        try:
+            parse_boot(text)
+        except BootError as error:
+            self.assertIn("settings file", str(error))
+
+
+class TestServerEntries(unittest.TestCase):
+    def setUp(self) -> None:
+        self.entry = FakeServer("i-1", "10.0.0.1:80", "noord-a").entry()
+
+    def read(self, **changes):
+        return objects.read_server("i-1", dump(self.entry | changes), REGIONS)
+
+    def test_entry_becomes_a_server(self):
+        read = self.read(phase="draining", warmup_left_ms=1500)
+        self.assertEqual(
+            (Phase.LEAVING, 1.5, "noord", 3),
+            (read.phase, read.cold_left_s, read.region, read.slots),
+        )
+
+    @FUZZ
+    @given(
+        st.sampled_from(
+            [
+                "service",
+                "address",
+                "zone",
+                "max_concurrency",
+                "phase",
+                "sequence",
+                "warmup_left_ms",
+                "born",
+            ]
+        ),
+        JSON_VALUES,
+    )
+    def test_other_values_are_a_server_or_a_clear_error(self, name, value):
+        try:
+            read = self.read(**{name: value})
+        except objects.UnreadableError as error:
+            self.assertIn("i-1", str(error))
+            return
+        self.assertIn(read.failure_domain, REGIONS)
+        self.assertIsInstance(read.slots, int)
+
+    @FUZZ
+    @given(st.binary(max_size=60))
+    def test_any_bytes_are_no_server(self, value):
+        with self.assertRaises(objects.UnreadableError):
+            objects.read_server("i-1", value, REGIONS)
+
+
+class TestConfigurations(unittest.TestCase):
+    def test_configuration_becomes_routes_services_and_limits(self):
+        parts = [{"service": "logboek", "weight": 90}, {"service": "other", "weight": 10}]
+        document = configuration(12, ("logboek", "other"), lookup={"backends": parts})
+        read = objects.read_config(dump(document))
+        route = next(item for item in read.routes if item.name == "lookup")
+        self.assertEqual(12, read.version)
+        self.assertEqual(
+            [("logboek", 90), ("other", 10)], [(part.service, part.weight) for part in route.parts]
+        )
+        self.assertEqual((True, 2.0, 0.5), (route.is_idempotent, route.timeout_s, route.aim_s))
+        self.assertEqual(2.6, read.service_by_name["logboek"].cold_per_s)
+        self.assertEqual((4096, 0.3), (read.limits.header_bytes, read.limits.header_s))
+
+    def test_uploads_are_never_repeated(self):
+        read = objects.read_config(dump(configuration(1)))
+        self.assertEqual({"lookup"}, {item.name for item in read.routes if item.is_idempotent})
+
+    @FUZZ
+    @given(st.integers(0, 4), st.sampled_from(["metadata", "spec", "entry_kind"]), JSON_VALUES)
+    def test_any_resource_is_read_or_a_clear_error(self, number, name, value):
+        document = json.loads(dump(configuration(5)))
+        document["resources"][number][name] = value
+        try:
+            objects.read_config(dump(document))
+        except objects.UnreadableError as error:
+            self.assertTrue(str(error))
+
+
+class TestHeaders(unittest.TestCase):
+    def answer(self, status: int, *headers: tuple[bytes, bytes]) -> ServerAnswer:
+        return ServerAnswer(status, b"", list(headers), b"")
+
+    def test_request_headers_become_identity_deadline_and_object(self):
+        meta = wire.read_request(
+            [
+                (b"attempt-id", b"a1"),
+                (b"deadline-ms", b"1500"),
+                (b"cookie", b"x=1; Affinity-Key=17; y=2"),
+            ]
+        )
+        self.assertEqual((b"a1", 1.5, b"17"), (meta.request_id, meta.deadline_s, meta.object_key))
+
+    def test_only_the_mark_and_421_say_that_nothing_ran(self):
+        sealed = (b"response-seal", b"s")
+        cases = [
+            (self.answer(200, sealed), AnswerKind.SEALED),
+            (self.answer(503, (b"not-executed", b"1")), AnswerKind.NOT_RUN),
+            (self.answer(503), AnswerKind.UNSEALED),
+            (self.answer(500, sealed), AnswerKind.SEALED),
+            (self.answer(421), AnswerKind.OTHER_SERVER),
+        ]
+        for answer, kind in cases:
+            self.assertEqual(kind, wire.read_answer(answer), answer)
+
+    def test_load_is_read_or_left_out(self):
+        answer = self.answer(200, (b"server-load", b"3,1,8"))
+        wire.read_answer(answer)
+        self.assertEqual(ServerLoad(3, 1, 8), answer.load)
+        broken = self.answer(200, (b"server-load", b"3,x"))
+        wire.read_answer(broken)
+        self.assertIsNone(broken.load)
+
+    def test_look_is_read(self):
+        look = wire.read_look("/resolve?name=a.example&region=noord&zone=noord-a")
+        self.assertEqual(Look("noord", "noord-a"), look)
+        self.assertIsNone(wire.read_look("/other?region=noord"))
+
+    @FUZZ
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(
+                    [b"attempt-id", b"deadline-ms", b"cookie", b"server-load", b"response-seal"]
+                ),
+                st.binary(max_size=20),
+            )
+        )
+    )
+    def test_any_headers_are_read(self, headers):
+        wire.read_request(headers)
+        wire.read_answer(ServerAnswer(200, b"", headers, b""))
+
+
+class TestNames(unittest.TestCase):
+    def test_no_name_of_the_platform_stands_outside_the_adapter(self):
+        names = re.compile(
+            r"Attempt-Id|Deadline-Ms|Target-Instance|Response-Seal|Server-Load|Not-Executed"
+            r"|Affinity-Key|Warmup-Ms|Instance-Id|entry_kind|warmup_left|path_prefix"
+            r"|max_concurrency|allowed_regions|session_affinity|serializable|PAPAYALEVER_BOOT"
+            r"|attempt-id|deadline-ms|response-seal|server-load",
+        )
+        found = [
+            f"{path.relative_to(ROOT)}: {match.group()}"
+            for path in sorted((ROOT / "papayalever").rglob("*.py"))
+            if "platform" not in path.parts
+            for match in [names.search(path.read_text())]
+            if match
+        ]
+        self.assertEqual([], found)
