--- a/papayalever/cli/definition.py
+++ b/papayalever/cli/definition.py
@@ -15,6 +15,7 @@
 from ..config.loader import load_configuration
 from ..context import Environment
 from ..daemon import Daemon
+from ..explain import explain
 from ..settings import load_settings
 from ..status import ExitStatus
 from . import client
@@ -48,6 +49,7 @@
     _add_apply(app, env)
     _add_show(app, env)
     _add_status(app, env)
+    _add_explain(app, env)
     return typer.main.get_command(app)
 
 
@@ -179,6 +181,30 @@
         return ExitStatus.SUCCESS
 
 
+def _add_explain(app: typer.Typer, env: Environment) -> None:
+    @app.command("explain")
+    def explain_request(
+        request_id: Annotated[
+            str, typer.Argument(help="Id of the request, as the caller sent it.")
+        ],
+        logs: Annotated[
+            list[Path], typer.Argument(help="Log files, one for each instance.", exists=True)
+        ],
+    ) -> ExitStatus:
+        """Tell from logs what happened to a request and what each instance believed."""
+        sources = [(path.stem, _read(path).splitlines()) for path in logs]
+        told = list(explain(request_id, sources))
+        for line in told:
+            env.print(line)
+        if not told:
+            raise CommandError(
+                f"No line of {len(logs)} logs tells of request {request_id!r}; "
+                "look for lines left out at that time.",
+                ExitStatus.ERROR,
+            )
+        return ExitStatus.SUCCESS
+
+
 async def _serve(settings) -> None:
     daemon = Daemon(settings)
     loop = asyncio.get_running_loop()
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,85 @@
+"""From a request's id to its cause, with nothing but the logs of a played failure."""
+
+import asyncio
+import io
+import json
+import os
+import tempfile
+import unittest
+from pathlib import Path
+
+from papayalever.context import Environment
+from papayalever.core import main
+from papayalever.entry.logs import LINES_PER_S, JsonLines
+from papayalever.status import ExitStatus
+
+from .support.platform import Platform, Seen
+
+
+class TestExplain(unittest.IsolatedAsyncioTestCase):
+    async def play(self, directory: str) -> Path:
+        """A request whose server is lost and one that answers; the log of the instance."""
+        path = Path(directory) / "edge-noord-a-1.log"
+        descriptor = os.open(path, os.O_WRONLY | os.O_CREAT)
+        self.addCleanup(os.close, descriptor)
+        with JsonLines(descriptor).applicationbound():
+            async with Platform() as platform:
+
+                async def cut(seen: Seen, writer: asyncio.StreamWriter) -> None:
+                    writer.transport.abort()
+
+                await platform.add_server(behave=cut)
+                instance = await platform.ready_instance()
+                await platform.ask(instance, "/signoff/1", id="lost1", method="POST", key="17")
+                await platform.ask(instance, "/nowhere/", id="none1")
+        return path
+
+    async def test_request_that_lost_its_server_is_explained(self):
+        with tempfile.TemporaryDirectory() as directory:
+            path = await self.play(directory)
+            records = [json.loads(line) for line in path.read_text().splitlines()]
+            out, err = io.StringIO(), io.StringIO()
+            env = Environment(stdout=out, stderr=err)
+            self.assertEqual(ExitStatus.SUCCESS, main(["explain", "lost1", str(path)], env))
+            self.assertEqual(ExitStatus.ERROR, main(["explain", "other", str(path)], env))
+        events = {record["event"] for record in records}
+        self.assertLessEqual(
+            {"started", "stopped", "configuration in force", "server list", "request"}, events
+        )
+        text = out.getvalue()
+        self.assertIn("status 502", text)
+        self.assertIn("sent to i-", text)
+        self.assertIn("lost", text)
+        self.assertIn("configuration in force: version 3", text)
+        self.assertIn("'other'", err.getvalue())
+
+
+class TestJsonLines(unittest.TestCase):
+    def test_reader_that_does_not_read_delays_nobody_and_is_told_of_what_was_left_out(self):
+        reading, writing = os.pipe()
+        self.addCleanup(os.close, reading)
+        self.addCleanup(os.close, writing)
+        import logbook
+
+        handler = JsonLines(writing)
+        log = logbook.Logger("test")
+        with handler.applicationbound():
+            for number in range(LINES_PER_S * 20):
+                handler._second = 0 if number % LINES_PER_S == 0 else handler._second
+                log.info("request", id="x" * 100)
+        self.assertGreater(sum(handler.dropped.values()), 0)
+
+    def test_lines_of_an_event_are_bounded_in_a_second(self):
+        with tempfile.TemporaryFile() as file:
+            import logbook
+
+            handler = JsonLines(file.fileno())
+            log = logbook.Logger("test")
+            with handler.applicationbound():
+                for _ in range(LINES_PER_S * 3):
+                    log.info("request", id="a")
+                log.info("leaving", open_connections=1)
+            file.seek(0)
+            events = [json.loads(line)["event"] for line in file.read().splitlines()]
+        self.assertLessEqual(events.count("request"), 2 * LINES_PER_S)
+        self.assertIn("leaving", events)
