Expect run times by rank and by whether the server knows the object

Ruled out: their place in the line (late ones only wait behind those that can make their aim). Change: means by rank and by known object; the expected wait adds up the runs ahead. A watch waits for 0.85 of the store's history, so that it does not end with a list.

--- a/papayalever/entry/feed.py
+++ b/papayalever/entry/feed.py
@@ -10,8 +10,11 @@
 from ..cluster.messages import KindNews
 from .copy import StoreCopy
 
-WAIT_S = 25.0
-"""Below the 30 s that the store allows; a silent connection is noticed by keep-alive before."""
+HISTORY_SHARE = 0.85
+"""Part of the store's history that a watch waits: one that waits longer loses its place in it and
+costs a list. A silent connection is noticed by keep-alive before."""
+MAX_WAIT_S = 30.0
+"""The longest wait that the store allows."""
 FIRST_PAUSE_S = 0.1
 MAX_PAUSE_S = 0.4
 """Pause after failures: with the grace for lapsed entries it stays under the 3 s after which
@@ -78,8 +81,15 @@
     """Keeps one kind of a copy current."""
 
     def __init__(
-        self, kind: str, source: Source, copy: StoreCopy, health: StoreHealth, rng: Random
+        self,
+        kind: str,
+        source: Source,
+        copy: StoreCopy,
+        health: StoreHealth,
+        rng: Random,
+        history_s: float,
     ) -> None:
+        self._wait_s = min(MAX_WAIT_S, history_s * HISTORY_SHARE)
         self.kind = kind
         self.is_connected = False
         """Whether the last call succeeded."""
@@ -113,7 +123,7 @@
             if is_whole:
                 snapshot = await self._source.list_all(self.kind)
             else:
-                snapshot = await self._source.watch(self.kind, known, WAIT_S)
+                snapshot = await self._source.watch(self.kind, known, self._wait_s)
         except HistoryGoneError:
             log.info("history gone", kind=self.kind, revision=known)
             self._is_history_gone = True
--- a/papayalever/entry/follower.py
+++ b/papayalever/entry/follower.py
@@ -38,6 +38,7 @@
         pool: LinkPool,
         seeds: tuple[str, ...],
         rng: Random,
+        history_s: float,
     ) -> None:
         self.relays = relays
         self.health = StoreHealth()
@@ -48,7 +49,7 @@
         self._copy = copy
         self._pool = pool
         self._seeds = seeds
-        self._feeds = [Feed(kind, source, copy, self.health, rng) for kind in kinds]
+        self._feeds = [Feed(kind, source, copy, self.health, rng, history_s) for kind in kinds]
         self._tasks: list[asyncio.Task] = []
         self._own_until = float("-inf")
 
--- a/papayalever/entry/instance.py
+++ b/papayalever/entry/instance.py
@@ -120,7 +120,14 @@
         self._relays = Relays(_own_entry(settings, int(time.time() * 1000)))
         self._links = LinkPool()
         self.follower = Follower(
-            self._relays, self.copy, store, kinds, self._links, settings.seeds, rng
+            self._relays,
+            self.copy,
+            store,
+            kinds,
+            self._links,
+            settings.seeds,
+            rng,
+            settings.history_s,
         )
         self._owners = Owners()
         self.desk = Desk(
--- a/papayalever/entry/settings.py
+++ b/papayalever/entry/settings.py
@@ -43,6 +43,8 @@
     store: str
     seeds: tuple[str, ...] = ()
     """Peer listeners of other instances; some may be gone."""
+    history_s: float = 20.0
+    """How long the store remembers changes."""
     memory_mb: float = 222.0
     link_mbit_s: float = 100.0
     cpu_share: float = 1.0
--- a/papayalever/platform/boot.py
+++ b/papayalever/platform/boot.py
@@ -48,6 +48,7 @@
         "peer_listener": _need(value_by_name, "listen.control"),
         "seeds": [item for item in value_by_name.get("seeds", "").split(",") if item],
         "store": _need(value_by_name, "provider.address"),
+        "history_s": value_by_name.get("provider.history_s", "20"),
         "memory_mb": value_by_name.get("limits.memory_mb", "222"),
         "link_mbit_s": value_by_name.get("limits.link_mbps", "100"),
         "cpu_share": value_by_name.get("limits.cpu_share", "1"),
--- a/papayalever/routing/places.py
+++ b/papayalever/routing/places.py
@@ -21,7 +21,7 @@
 SPARE_SHARE = 0.5
 """Part of its slots below which a server takes objects that another one knows."""
 FIRST_RUN_S = 0.3
-"""Guess of a server's run time before any answer: between a warm and a cold run."""
+"""Guess of a run time before any answer: between a warm and a cold run of urgent work."""
 RUN_WEIGHT = 0.15
 """Weight of the newest run time in the mean; a mean over some seven runs."""
 LATE_PATIENCE = 1.0
@@ -34,6 +34,7 @@
 """A place of an instance that died is free so long after its request must be over."""
 
 PlaceId = tuple[str, int]
+RunKey = tuple[int, bool]
 
 
 @dataclass(eq=False, slots=True)
@@ -50,9 +51,9 @@
     is_taken: bool = False
     """The request is on its way, whatever the verdict."""
 
-    def order(self, run_s: float, now: float, number: int) -> tuple[bool, int, int]:
+    def order(self, start: float, run_s: float, number: int) -> tuple[bool, int, int]:
         """Those that can make their aim first, then by urgency, then first come."""
-        return (now + run_s > self.aim_at, self.rank, number)
+        return (start + run_s > self.aim_at, self.rank, number)
 
 
 @dataclass(eq=False, slots=True)
@@ -61,8 +62,10 @@
 
     server: Server
     lease_by_id: dict[PlaceId, float] = field(default_factory=dict)
+    run_key_by_id: dict[PlaceId, RunKey] = field(default_factory=dict)
     waiting_by_id: dict[PlaceId, tuple[int, Ask]] = field(default_factory=dict)
-    run_s: float = FIRST_RUN_S
+    run_s_by_key: dict[RunKey, float] = field(default_factory=dict)
+    """Mean run time by rank and by whether the server knew the object."""
     others: int = 0
     """Requests at the server that nobody holds a place for."""
     others_at: float = float("-inf")
@@ -77,6 +80,21 @@
         if len(self.known_objects) > KNOWN_OBJECTS:
             self.known_objects.popitem(last=False)
 
+    def run_key(self, ask: Ask) -> RunKey:
+        """What a request's run time depends on."""
+        return (ask.rank, ask.object_key in self.known_objects)
+
+    def run_s(self, ask: Ask) -> float:
+        """Expected run time of a request."""
+        rank, is_known = self.run_key(ask)
+        known_s = self.run_s_by_key.get((rank, is_known))
+        return known_s or self.run_s_by_key.get((rank, not is_known)) or FIRST_RUN_S
+
+    def note_run(self, key: RunKey, ran_s: float) -> None:
+        """Take a run time into the mean."""
+        mean_s = self.run_s_by_key.get(key, ran_s)
+        self.run_s_by_key[key] = mean_s + RUN_WEIGHT * (ran_s - mean_s)
+
     def taken(self, now: float) -> int:
         """Places that are in use."""
         return len(self.lease_by_id) + (self.others if now - self.others_at < REPORT_LIFE_S else 0)
@@ -112,7 +130,7 @@
             is_known = ask.object_key in places.known_objects
             has_spare = is_known or places.taken(now) < server.entry.slots * SPARE_SHARE
             if places.waiting_by_id or not has_spare or not self._has_room(places, now):
-                return Verdict(PlaceState.REFUSED, places.run_s)
+                return Verdict(PlaceState.REFUSED, places.run_s(ask))
             return self._grant(places, ask, now)
         if not places.waiting_by_id and self._has_room(places, now):
             return self._grant(places, ask, now)
@@ -131,8 +149,9 @@
         places.waiting_by_id.pop(place, None)
         if places.lease_by_id.pop(place, None) is None:
             return
-        if ran_s > 0:
-            places.run_s += RUN_WEIGHT * (ran_s - places.run_s)
+        key = places.run_key_by_id.pop(place, None)
+        if ran_s > 0 and key:
+            places.note_run(key, ran_s)
         if running >= 0:
             places.others = max(0, running - len(places.lease_by_id) - 1)
             places.others_at = now
@@ -157,7 +176,7 @@
         decided: list[tuple[PlaceId, Verdict]] = []
         line = sorted(
             places.waiting_by_id.values(),
-            key=lambda item: item[1].order(places.run_s, now, item[0]),
+            key=lambda item: item[1].order(now, places.run_s(item[1]), item[0]),
         )
         for _, ask in line:
             if self._has_room(places, now):
@@ -166,12 +185,13 @@
             elif now >= self._leave_at(places, ask, now):
                 del places.waiting_by_id[ask.id]
                 self._server_by_id.pop(ask.id, None)
-                decided.append((ask.id, Verdict(PlaceState.REFUSED, places.run_s)))
+                decided.append((ask.id, Verdict(PlaceState.REFUSED, places.run_s(ask))))
         return decided
 
     def _grant(self, places: ServerPlaces, ask: Ask, now: float) -> Verdict:
         places.lease_by_id[ask.id] = ask.lease_at + LEASE_MARGIN_S
         self._server_by_id[ask.id] = places.server.id
+        places.run_key_by_id[ask.id] = places.run_key(ask)
         places.note_object(ask.object_key)
         if places.server.is_cold(now):
             places.cold_grants.append(now)
@@ -187,19 +207,21 @@
         return len(places.cold_grants) < max(1, int(self.cold_per_s(server.entry.service)))
 
     def _expected_wait_s(self, places: ServerPlaces, ask: Ask, now: float) -> float:
-        own = ask.order(places.run_s, now, 0)[:2]
-        ahead = sum(
-            1
+        """Time until an ask gets a place, from the run times of those that go before it."""
+        own_s = places.run_s(ask)
+        own = ask.order(now, own_s, 0)[:2]
+        ahead_s = sum(
+            run_s
             for _, other in places.waiting_by_id.values()
-            if other.order(places.run_s, now, 0)[:2] <= own
+            if other.order(now, run_s := places.run_s(other), 0)[:2] <= own
         )
         slots = places.server.entry.slots
         over = max(0, places.taken(now) - slots - EXTRA_PLACES + 1)
-        return (ahead + over) * places.run_s / slots
+        return (ahead_s + over * own_s) / slots
 
     def _leave_at(self, places: ServerPlaces, ask: Ask, start: float) -> float:
         """When an ask is refused: a late one waits for as long as its aim was."""
-        if start + places.run_s <= ask.aim_at:
+        if start + places.run_s(ask) <= ask.aim_at:
             return ask.aim_at
         aim_s = max(0.1, ask.aim_at - ask.asked_at)
         return min(ask.asked_at + LATE_PATIENCE * aim_s, ask.lease_at)
@@ -208,6 +230,7 @@
         for place, lease_at in list(places.lease_by_id.items()):
             if now > lease_at:
                 del places.lease_by_id[place]
+                places.run_key_by_id.pop(place, None)
                 self._server_by_id.pop(place, None)
 
     def _find(self, server: Server) -> ServerPlaces:
