Soak real entry processes under seeded faults from outside

Cause: the promises were only checked fault by fault. Change: tests/soak starts the programs as processes with stand-ins of the store, servers and callers, injects kills, pauses, stops, restarts, crashes, replacements, proxies that delay, silence and cut one way, configurations and emptied domains in series, and checks at most once, truth of refusals, whole answers, leaving servers, emptied domains, ends in time and recovery from what callers and servers see.

--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real entry processes under faults injected from outside."""
--- /dev/null
+++ b/tests/soak/run.py
@@ -0,0 +1,398 @@
+"""Runs the soak: ``python -m tests.soak.run --seed 7 --minutes 1``."""
+
+import argparse
+import asyncio
+import itertools
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+
+from ..support.platform import (
+    Caller,
+    FakeServer,
+    PlatformStore,
+    Seen,
+    boot_text,
+    configuration,
+    sealed,
+)
+from .checks import SLACK_S, Ledger, Sent, body_of
+from .proxy import Fault, FaultProxy
+
+DOMAINS = ("noord-a", "noord-b", "midden-a")
+INSTANCES_PER_DOMAIN = 2
+SERVERS_PER_DOMAIN = 3
+CALLERS = 12
+DRAIN_S = 2.5
+EVACUATION_S = 5.0
+CONTACT_S = 4.0
+"""Bounds hold for instances that nothing happened to for so long."""
+LEAST_SERVED = 0.9
+"""Share of the requests that are served once all faults are over."""
+
+
+@dataclass(eq=False)
+class Program:
+    """One entry instance as a process of its own."""
+
+    name: str
+    ip: str
+    settings: Path
+    log: Path
+    process: subprocess.Popen | None = None
+    disturbed_at: float = 0.0
+
+    def start(self) -> None:
+        with open(self.log, "ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "papayalever.platform.program"],
+                env=os.environ | {"PAPAYALEVER_BOOT": str(self.settings)},
+                stdout=log,
+                stderr=log,
+            )
+
+    @property
+    def is_running(self) -> bool:
+        return self.process is not None and self.process.poll() is None
+
+
+class Soak:
+    """One seeded run."""
+
+    def __init__(self, seed: int, directory: Path) -> None:
+        self.rng = Random(seed)
+        self.net = f"127.{100 + seed % 100}.{os.getpid() % 250}"
+        self.ledger = Ledger()
+        self.store = PlatformStore(f"{self.net}.1:8142")
+        self.store_proxy = FaultProxy(f"{self.net}.2:8142", self.store.address)
+        self.server_by_id: dict[str, FakeServer] = {}
+        self.proxy_by_id: dict[str, FaultProxy] = {}
+        self.programs: list[Program] = []
+        self.directory = directory
+        self.store_disturbed_at = -100.0
+        self.left_at: dict[str, float] = {}
+        self.emptied_at: dict[str, float] = {}
+        self.is_over = False
+        self.version = 3
+        self._ids = itertools.count(1)
+        self._hosts = itertools.count(10)
+        self._tasks: set[asyncio.Task] = set()
+
+    def now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def say(self, text: str) -> None:
+        print(f"{self.now():8.2f} {text}", flush=True)
+
+    # The deployment.
+
+    async def start(self) -> None:
+        await self.store.start()
+        await self.store_proxy.start()
+        self.store.put("config", "main", configuration(self.version))
+        for domain in DOMAINS:
+            for _ in range(SERVERS_PER_DOMAIN):
+                await self.add_server(domain)
+        for domain in DOMAINS:
+            for _ in range(INSTANCES_PER_DOMAIN):
+                self.add_program(domain)
+        for program in self.programs:
+            program.start()
+        await asyncio.sleep(3.0)
+
+    def add_program(self, domain: str) -> None:
+        number = next(self._hosts)
+        name, ip = f"edge-{domain}-{number}", f"{self.net}.{number}"
+        path = self.directory / f"{name}.conf"
+        path.write_text(boot_text(name, ip, domain, self.store_proxy.address))
+        self.programs.append(Program(name, ip, path, self.directory / f"{name}.log"))
+
+    async def add_server(self, domain: str, cold_ms: int = 0) -> FakeServer:
+        number = next(self._hosts)
+        proxy_address = f"{self.net}.{number}:8080"
+        server = FakeServer(f"i-{number}", f"{self.net}.{number}:8081", domain)
+        server.behave = self.run_request
+        proxy = FaultProxy(proxy_address, server.address)
+        await server.start()
+        await proxy.start()
+        self.server_by_id[server.id], self.proxy_by_id[server.id] = server, proxy
+        entry = server.entry(address=proxy_address, warmup_left_ms=cold_ms)
+        self.store.put("servers", server.id, entry)
+        return server
+
+    async def run_request(self, seen: Seen, writer: asyncio.StreamWriter) -> None:
+        at = self.now()
+        self.ledger.note_run(seen.id, at)
+        self.check_allowed(seen, at)
+        await asyncio.sleep(self.rng.uniform(0.005, 0.08))
+        writer.write(sealed(seen, body_of(seen.id)))
+
+    def check_allowed(self, seen: Seen, at: float) -> None:
+        """A leaving server and an emptied domain get nothing from undisturbed instances."""
+        server = self.server_by_id[seen.headers["target-instance"]]
+        calm_from = max(
+            [self.store_disturbed_at, *(program.disturbed_at for program in self.programs)]
+        )
+        if at - calm_from < CONTACT_S:
+            return
+        left = self.left_at.get(server.id, at)
+        if at - max(left, calm_from) > DRAIN_S + SLACK_S and left < at:
+            self.ledger.find(at, f"{seen.id} reaches {server.id} {at - left:.1f} s after it left")
+        emptied = self.emptied_at.get(server.failure_domain, at)
+        if emptied < at and at - max(emptied, calm_from) > EVACUATION_S + SLACK_S:
+            self.ledger.find(at, f"{seen.id} reaches emptied {server.failure_domain}")
+
+    # Callers.
+
+    async def call_on(self, rng: Random) -> None:
+        while not self.is_over:
+            program = rng.choice(self.programs)
+            try:
+                async with asyncio.timeout(1.0):
+                    caller = await Caller.connect(f"{program.ip}:8144")
+            except (OSError, TimeoutError):
+                await asyncio.sleep(0.1)
+                continue
+            for _ in range(rng.randint(1, 12)):
+                sent = self.send(caller, rng)
+                status = await self.take(caller, sent)
+                if status == 0 or self.is_over:
+                    break
+                await asyncio.sleep(rng.uniform(0.0, 0.1))
+            caller.close()
+
+    def send(self, caller: Caller, rng: Random) -> Sent:
+        kind = rng.choice(["lookup", "lookup", "signoff", "scan"])
+        sent = Sent(f"r{next(self._ids)}", kind == "lookup", self.now(), rng.choice([1.0, 3.0]))
+        self.ledger.sent_by_id[sent.id] = sent
+        caller.send(
+            f"/{kind}/{rng.randint(0, 20)}",
+            sent.id,
+            method="GET" if sent.is_idempotent else "POST",
+            key=str(rng.randint(0, 20)),
+            body=bytes(rng.randint(1, 60_000)) if kind == "scan" else b"",
+            deadline_ms=int(sent.deadline_s * 1000),
+        )
+        return sent
+
+    async def take(self, caller: Caller, sent: Sent) -> int:
+        try:
+            async with asyncio.timeout(sent.deadline_s):
+                reply = await caller.read()
+        except (TimeoutError, asyncio.IncompleteReadError, ConnectionError):
+            sent.status = 0
+            self.ledger.statuses[0] += 1
+            return 0
+        sent.status, sent.body = reply.status, reply.body
+        sent.seal = reply.headers.get("response-seal", "")
+        self.ledger.note_answer(sent, self.now())
+        return reply.status if reply.headers.get("connection") != "close" else 0
+
+    # Faults.
+
+    async def disturb(self) -> None:
+        faults: list[Callable[[], Awaitable[None]]] = [
+            self.kill_program,
+            self.pause_program,
+            self.stop_program,
+            self.lose_server,
+            self.replace_server,
+            self.fault_server,
+            self.fault_store,
+            self.change_configuration,
+            self.empty_domain,
+        ]
+        while not self.is_over:
+            for _ in range(self.rng.choice([1, 1, 2, 3])):
+                task = asyncio.create_task(self.rng.choice(faults)())
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+            await asyncio.sleep(self.rng.uniform(0.3, 2.5))
+
+    def pick_program(self) -> Program | None:
+        running = [program for program in self.programs if program.is_running]
+        return self.rng.choice(running) if len(running) > 2 else None
+
+    async def kill_program(self) -> None:
+        if program := self.pick_program():
+            self.say(f"kill {program.name}")
+            program.disturbed_at = self.now() + 2.0
+            program.process.kill()
+            await self.restart(program)
+
+    async def stop_program(self) -> None:
+        if program := self.pick_program():
+            self.say(f"stop {program.name}")
+            program.disturbed_at = self.now() + 8.0
+            program.process.send_signal(signal.SIGTERM)
+            await self.restart(program, 7.0)
+
+    async def pause_program(self) -> None:
+        if program := self.pick_program():
+            pause_s = self.rng.uniform(0.3, 3.0)
+            self.say(f"pause {program.name} for {pause_s:.1f} s")
+            program.disturbed_at = self.now() + pause_s
+            program.process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(pause_s)
+            program.process.send_signal(signal.SIGCONT)
+
+    async def restart(self, program: Program, most_s: float = 2.0) -> None:
+        end = self.now() + most_s
+        while program.is_running and self.now() < end:
+            await asyncio.sleep(0.05)
+        if program.is_running:
+            self.ledger.find(self.now(), f"{program.name} still runs {most_s} s after its signal")
+            program.process.kill()
+        program.process.wait()
+        await asyncio.sleep(self.rng.uniform(0.1, 1.0))
+        if not self.is_over:
+            program.start()
+            program.disturbed_at = max(program.disturbed_at, self.now())
+
+    def pick_server(self) -> FakeServer | None:
+        present = [item for key, item in self.server_by_id.items() if key not in self.left_at]
+        return self.rng.choice(present) if len(present) > 4 else None
+
+    async def lose_server(self) -> None:
+        if server := self.pick_server():
+            self.say(f"crash {server.id}")
+            proxy = self.proxy_by_id[server.id]
+            await server.stop()
+            proxy.reset()
+            await asyncio.sleep(self.rng.uniform(0.5, 3.0))
+            await server.start()
+            born = 1_700_000_000_000 + next(self._ids)
+            entry = server.entry(address=proxy.address, warmup_left_ms=1000, born=born)
+            if server.id not in self.left_at:
+                self.store.put("servers", server.id, entry)
+
+    async def replace_server(self) -> None:
+        if server := self.pick_server():
+            self.say(f"replace {server.id}")
+            await self.add_server(server.failure_domain, cold_ms=1500)
+            address = self.proxy_by_id[server.id].address
+            self.left_at[server.id] = self.now()
+            self.store.put("servers", server.id, server.entry(address=address, phase="draining"))
+            await asyncio.sleep(2.0)
+            self.store.drop("servers", server.id)
+
+    async def fault_server(self) -> None:
+        if server := self.pick_server():
+            proxy = self.proxy_by_id[server.id]
+            await self.fault_proxy(proxy, f"server {server.id}")
+
+    async def fault_store(self) -> None:
+        self.store_disturbed_at = self.now() + 6.0
+        if self.rng.random() < 0.3:
+            self.say("the store forgets its history")
+            self.store.forgets = True
+            await asyncio.sleep(1.0)
+            self.store.forgets = False
+        else:
+            await self.fault_proxy(self.store_proxy, "the store")
+        self.store_disturbed_at = self.now()
+
+    async def fault_proxy(self, proxy: FaultProxy, name: str) -> None:
+        proxy.fault = self.rng.choice([item for item in Fault if item != Fault.NONE])
+        self.say(f"{proxy.fault} at {name}")
+        if self.rng.random() < 0.3:
+            proxy.reset()
+        await asyncio.sleep(self.rng.uniform(0.5, 4.0))
+        proxy.fault = Fault.NONE
+
+    async def change_configuration(self) -> None:
+        self.version += self.rng.randint(1, 4)
+        self.say(f"configuration {self.version}")
+        idle = {"idle_timeout_ms": self.rng.choice([1500, 3000])}
+        self.store.put("config", "main", configuration(self.version, limits=idle))
+
+    async def empty_domain(self) -> None:
+        domain = self.rng.choice(DOMAINS)
+        if self.emptied_at:
+            return
+        self.say(f"empty {domain}")
+        self.emptied_at[domain] = self.now()
+        self.store.put("evacuations", domain, {})
+        await asyncio.sleep(self.rng.uniform(1.0, 9.0))
+        del self.emptied_at[domain]
+        self.store.drop("evacuations", domain)
+
+    # The run.
+
+    async def run(self, seconds: float) -> list[str]:
+        await self.start()
+        callers = [
+            asyncio.create_task(self.call_on(Random(self.rng.random()))) for _ in range(CALLERS)
+        ]
+        faults = asyncio.create_task(self.disturb())
+        await asyncio.sleep(seconds)
+        faults.cancel()
+        self.say("faults are over")
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.sleep(CONTACT_S + 3.0)
+        before = self.ledger.statuses.copy()
+        await asyncio.sleep(3.0)
+        calm = self.ledger.statuses - before
+        served = calm[200] / max(1, sum(calm.values()))
+        if served < LEAST_SERVED:
+            self.ledger.find(self.now(), f"{served:.2f} of the requests are served after all")
+        self.is_over = True
+        await asyncio.gather(*callers)
+        return self.ledger.findings
+
+    async def stop(self) -> None:
+        for program in self.programs:
+            if program.process:
+                program.process.send_signal(signal.SIGCONT)
+                program.process.kill()
+                program.process.wait()
+        for proxy in [self.store_proxy, *self.proxy_by_id.values()]:
+            await proxy.stop()
+        for server in self.server_by_id.values():
+            await server.stop()
+        await self.store.stop()
+
+
+async def soak(seed: int, seconds: float) -> list[str]:
+    """Run one seed and return what was found."""
+    with tempfile.TemporaryDirectory() as directory:
+        run = Soak(seed, Path(directory))
+        try:
+            findings = await run.run(seconds)
+        finally:
+            await run.stop()
+        print(
+            f"seed {seed}: {sum(run.ledger.statuses.values())} attempts, "
+            f"by status {dict(sorted(run.ledger.statuses.items()))}"
+        )
+        for finding in findings:
+            print(f"finding: seed {seed}: {finding}")
+        print(f"seed {seed}: {len(findings)} findings", flush=True)
+        if findings and os.environ.get("PAPAYALEVER_SOAK_LOGS"):
+            kept = Path(os.environ["PAPAYALEVER_SOAK_LOGS"]) / f"seed-{seed}"
+            kept.mkdir(parents=True, exist_ok=True)
+            for program in run.programs:
+                (kept / program.log.name).write_bytes(program.log.read_bytes())
+    return findings
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description="Seeded faults against real processes.")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=1, help="how many seeds from there on")
+    parser.add_argument("--minutes", type=float, default=0.5, help="of faults, for each seed")
+    options = parser.parse_args()
+    found = 0
+    for seed in range(options.seed, options.seed + options.seeds):
+        found += len(asyncio.run(soak(seed, options.minutes * 60)))
+    return 1 if found else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
