End a stopped process before its kill even when peers do not answer the close

The closing handshakes with other instances wait up to 1 s each behind the last 0.3 s. Ruled out: a request that outlives the stop (the drain ends 0.3 s before the kill whatever runs). Change: 0.4 s are kept and the handshakes get 0.2 s of them.

--- a/papayalever/entry/instance.py
+++ b/papayalever/entry/instance.py
@@ -5,6 +5,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import asdict, dataclass, replace
 from random import Random
 from typing import Any
@@ -42,8 +43,10 @@
 """How long callers may use an answer of the directory."""
 LISTEN_ON_S = 1.5
 """After SIGTERM callers that still have the address are served for so long."""
-STOP_MARGIN_S = 0.3
+STOP_MARGIN_S = 0.4
 """Kept before SIGKILL, to close what is left."""
+CLOSE_S = 0.2
+"""How long the closing handshakes with other instances may take at the end."""
 METRICS_PORT = 9464
 METRICS_PATH = "/metrics"
 """Port and path of the deploy file's metrics address."""
@@ -186,7 +189,9 @@
         finally:
             for task in tasks:
                 task.cancel()
-            await self.abort()
+            with suppress(TimeoutError):
+                async with asyncio.timeout(CLOSE_S):
+                    await self.abort()
             log.info("stopped", instance=settings.instance)
 
     async def abort(self) -> None:
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -582,6 +582,21 @@
         self.assertNotEqual("other", instance.settings.instance)
         self.assertEqual(200, (await self.platform.ask(instance, "/lookup/1")).status)
 
+    async def test_stop_ends_before_the_kill_while_a_request_hangs(self):
+        # Incident inc-4fc4: one process was still there at the end of the grace time.
+        await self.platform.add_server(run_s=30.0)
+        slow = configuration(4, lookup={"timeout_ms": 60_000})
+        self.platform.store.put("config", "main", slow)
+        instances = await self.start(["noord-a", "noord-a", "noord-b"])
+        leaving = instances[0]
+        caller = await Caller.connect(leaving.settings.caller_listener)
+        caller.send("/lookup/1", "hang", deadline_ms=60_000)
+        await asyncio.sleep(0.2)
+        leaving.request_stop()
+        task = self.platform._task_by_name[leaving.settings.instance]
+        await asyncio.wait_for(asyncio.shield(task), leaving.settings.bounds.stop_s)
+        caller.close()
+
     async def test_stop_cuts_no_request_and_withdraws_the_instance(self):
         await self.platform.add_server(run_s=0.8)
         instances = await self.start(["noord-a", "noord-a"])
