--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,11 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: install demo test codestyle format measure clean
+SEED := 1
+SEEDS := 1
+MINUTES := 0.5
+
+.PHONY: install demo soak test codestyle format measure clean
 
 install: $(STAMP)
 
@@ -18,6 +22,9 @@
 test: install
 	$(PYTHON) -m tests.run
 
+soak: install
+	$(PYTHON) -W ignore -m tests.soak.run --seed $(SEED) --seeds $(SEEDS) --minutes $(MINUTES)
+
 codestyle: install
 	$(PYTHON) -m black --quiet --check --diff papayalever tests benchmarks
 	$(PYTHON) -m ruff check papayalever tests benchmarks
