Read the store once a region and gather changes for 0.4 s

Ruled out: calls while the store is away (a test bounds them; it passed before the change too). Change: the most senior instance of a region reads, those of the domains follow it, the others follow theirs; in a region one only follows who is more senior. Readers of other regions come last. While no reader hears the store, the others ask it every 1.5 s.

--- a/papayalever/entry/feed.py
+++ b/papayalever/entry/feed.py
@@ -19,9 +19,11 @@
 MAX_PAUSE_S = 0.4
 """Pause after failures: with the grace for lapsed entries it stays under the 3 s after which
 bounds hold again."""
-GATHER_S = 0.25
-"""Pause behind a change: changes come in series, and each call is counted and priced. An eighth of
+GATHER_S = 0.4
+"""Pause behind a change: changes come in series, and each call is counted and priced. A fifth of
 the shortest bound (2 s)."""
+SPARING_PAUSE_S = 1.5
+"""The same for instances that only ask because no reader hears the store: all of a region may."""
 OUTAGE_S = 1.0
 """Failures for so long make the next list one after an outage."""
 
@@ -60,6 +62,8 @@
 
     failing_since: float | None = None
     pause_s: float = FIRST_PAUSE_S
+    is_sparing: bool = False
+    """Whether others read the store for this instance and only they are in a hurry."""
     turn: asyncio.Lock = field(default_factory=asyncio.Lock)
 
     def note_failure(self, kind: str, error: Exception, now: float) -> None:
@@ -67,7 +71,8 @@
         if self.failing_since is None:
             self.failing_since = now
             log.warning("store lost", kind=kind, error=str(error))
-        self.pause_s = min(MAX_PAUSE_S, self.pause_s * 2)
+        most_s = SPARING_PAUSE_S if self.is_sparing else MAX_PAUSE_S
+        self.pause_s = most_s if self.is_sparing else min(most_s, self.pause_s * 2)
 
     def note_success(self, kind: str, now: float) -> None:
         """Count an answer."""
--- a/papayalever/entry/follower.py
+++ b/papayalever/entry/follower.py
@@ -22,7 +22,7 @@
 REVIEW_S = 0.5
 """How often an instance that reads the store looks for a more senior one."""
 OWN_READ_S = 2.0
-"""How long an instance reads the store itself when no relay hears it."""
+"""How long an instance asks the store itself when no relay hears it, before it asks them again."""
 
 log = logbook.Logger("follower")
 
@@ -74,7 +74,9 @@
             if not self._copy.is_complete:
                 self._read_store()
             while True:
-                if self.relays.is_relay(now()) or now() < self._own_until:
+                is_reader = self.relays.is_reader(now())
+                self.health.is_sparing = not is_reader and self._copy.is_complete
+                if is_reader or now() < self._own_until:
                     self._read_store()
                     await self._copy.wait_change(REVIEW_S)
                 elif not await self._follow_one():
--- a/papayalever/routing/relays.py
+++ b/papayalever/routing/relays.py
@@ -1,8 +1,9 @@
 """Which instance reads the store for others.
 
-The most senior instance of each failure domain follows the store; the others follow it. When it
-does not answer they follow that of another domain in the region, and the next in seniority reads
-the store itself. Nothing is agreed on: two readers cost calls, no reader can not be for long.
+The most senior instance of each region reads the store, the most senior of each failure domain
+follows that one, and the others follow theirs: calls to the store grow with the regions, and nobody
+is followed by more than a failure domain. Who does not answer is passed over, so that the next in
+seniority takes its part. Nothing is agreed on: two readers cost calls, and one comes before long.
 """
 
 from collections.abc import Iterable
@@ -47,33 +48,27 @@
         """An instance answered."""
         self._suspect_until.pop(name, None)
 
-    def is_relay(self, now: float) -> bool:
+    def is_reader(self, now: float) -> bool:
         """Whether this instance reads the store."""
-        return not self._seniors(self.own.failure_domain, now)
+        return not self._region_seniors(now)
 
     def candidates(self, now: float) -> list[InstanceEntry]:
-        """Whom to follow, the best first."""
-        own = self._seniors(self.own.failure_domain, now)[:1]
-        domains = {
-            entry.failure_domain
-            for entry in self.entry_by_name.values()
-            if entry.region == self.own.region
-        }
-        others = [
-            self._live(domain, now)[0]
-            for domain in sorted(domains - {self.own.failure_domain})
-            if self._live(domain, now)
-        ]
-        return own + others
-
-    def _seniors(self, domain: str, now: float) -> list[InstanceEntry]:
-        return [entry for entry in self._live(domain, now) if _rank(entry) < _rank(self.own)]
-
-    def _live(self, domain: str, now: float) -> list[InstanceEntry]:
+        """Whom to follow, the best first; in the own region only those that are more senior."""
+        seniors = self._region_seniors(now)
+        own = [item for item in seniors if item.failure_domain == self.own.failure_domain]
+        found = own[:1] + [item for item in seniors[:1] if item not in own[:1]]
+        regions = {entry.region for entry in self.entry_by_name.values()} - {self.own.region}
+        return found + [live[0] for region in sorted(regions) if (live := self._live(region, now))]
+
+    def _region_seniors(self, now: float) -> list[InstanceEntry]:
+        live = self._live(self.own.region, now)
+        return [entry for entry in live if _rank(entry) < _rank(self.own)]
+
+    def _live(self, region: str, now: float) -> list[InstanceEntry]:
         found = [
             entry
             for entry in self.entry_by_name.values()
-            if entry.failure_domain == domain
+            if entry.region == region
             and entry.name != self.own.name
             and self._suspect_until.get(entry.name, 0.0) <= now
         ]
