--- a/papayalever/explain.py
+++ b/papayalever/explain.py
@@ -89,7 +89,8 @@
     failures = record.get("failures", [])
     for number, server in enumerate(record.get("servers", [])):
         load = (record.get("loads") or [])[number : number + 1]
-        result = failures[number] if number < len(failures) else "answered"
+        ending = "no answer" if record["reason"] else "answered"
+        result = failures[number] if number < len(failures) else ending
         yield f"  sent to {server} (load known {load[0] if load else '?'}): {result}"
         for line in view.lines_by_server.get(server, []):
             yield f"    {line['at'] - at:+.3f} s {describe(line)}"
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -11,6 +11,7 @@
 from papayalever.context import Environment
 from papayalever.core import main
 from papayalever.entry.logs import LINES_PER_S, JsonLines
+from papayalever.explain import explain
 from papayalever.status import ExitStatus
 
 from .support.platform import Platform, Seen
@@ -54,6 +55,24 @@
         self.assertIn("'other'", err.getvalue())
 
 
+class TestTell(unittest.TestCase):
+    def test_send_without_an_answer_is_not_called_answered(self):
+        record = {
+            "at": 1.0,
+            "event": "request",
+            "id": "a",
+            "status": 0,
+            "ms": 5,
+            "config": 3,
+            "reason": "caller left",
+            "servers": ["i-1"],
+            "loads": [1],
+            "failures": [],
+        }
+        told = "\n".join(explain("a", [("edge-1", [json.dumps(record)])]))
+        self.assertIn("sent to i-1 (load known 1): no answer", told)
+
+
 class TestJsonLines(unittest.TestCase):
     def test_reader_that_does_not_read_delays_nobody_and_is_told_of_what_was_left_out(self):
         reading, writing = os.pipe()
