Split what an instance believes from the instance

Change: entry/beliefs.py turns news into tables and says so in lines; an unused parameter is gone. Measured: behaviour unchanged; tests of the whole path, servers and adapter pass (29).

--- a/papayalever/entry/exchange.py
+++ b/papayalever/entry/exchange.py
@@ -121,13 +121,12 @@
             if place is None:
                 return self._give_up("no server has room")
             outcome = await self._try(place)
-            server = place.server
             if isinstance(outcome, Answer):
                 return outcome
             self.story.failures.append(outcome)
-            self._avoid.add(server.id)
+            self._avoid.add(place.server.id)
             self._shared.metrics.count("failed_sends", outcome)
-            if not self._may_try_again(outcome):
+            if not self._may_try_again():
                 return self._give_up(outcome)
 
     async def _find_place(self) -> Place | None:
@@ -284,7 +283,7 @@
             server.failures = 1
         return str(error.failure)
 
-    def _may_try_again(self, outcome: str) -> bool:
+    def _may_try_again(self) -> bool:
         if self._give_up_at - now() < MIN_LEFT_S or self._connects >= MAX_CONNECTS:
             return False
         if self.story.may_have_run and not self._route.is_idempotent:
--- a/papayalever/entry/instance.py
+++ b/papayalever/entry/instance.py
@@ -6,7 +6,7 @@
 from collections import Counter
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import asdict, dataclass, replace
+from dataclasses import asdict, replace
 from random import Random
 from typing import Any
 
@@ -14,22 +14,23 @@
 import msgspec
 
 from ..cluster.links import LinkPool, LinkServer
-from ..cluster.messages import AskPlace, AwaitPlace, Follow, KindNews, ReturnPlace
+from ..cluster.messages import AskPlace, AwaitPlace, Follow, ReturnPlace
 from ..routing.owners import Owners
 from ..routing.placement import Placement
 from ..routing.places import Places
 from ..routing.relays import InstanceEntry, Relays
-from ..routing.routes import CallerLimits, PartSplitter, RouteTable, RoutingConfig
-from ..routing.servers import ServerEntry, ServerTable
+from ..routing.routes import CallerLimits, PartSplitter, RouteTable
+from ..routing.servers import ServerTable
+from .beliefs import INSTANCE_KIND, Beliefs, Reader
 from .caller import BodyMemory, CallerConnection, Handle
 from .clock import now
 from .copy import StoreCopy
-from .crashes import CRASH_KIND, Crashes
+from .crashes import Crashes
 from .desk import Desk
 from .exchange import Exchange, refuse
 from .feed import HISTORY_SHARE, FeedError
 from .follower import Follower
-from .messages import Answer, CallerRequest, Look, RequestMeta
+from .messages import Answer, CallerRequest, RequestMeta
 from .metrics import EntryMetrics
 from .pool import Pool
 from .settings import EntrySettings
@@ -39,6 +40,7 @@
 BACKLOG = 512
 """New connections that wait to be accepted; a full queue delays a caller by seconds."""
 SWEEP_S = 0.25
+"""Between looks for connections that idled too long and entries whose grace is over."""
 ANSWER_LIFE_S = 2.0
 """How long callers may use an answer of the directory."""
 LISTEN_ON_S = 1.5
@@ -52,35 +54,18 @@
 """Port and path of the deploy file's metrics address."""
 BODY_SHARE = 0.25
 """Part of the memory that callers' bodies may fill; the program itself needs 40 MB of 152 MB."""
-INSTANCE_KIND = "papayalever-instances"
-"""Kind of our own in the store: each instance registers itself once."""
 REGISTER_PAUSE_S = 1.0
 """Between tries to register: calls are limited and priced, and nobody waits for the entry."""
 SILENCE_MARGIN_S = 1.0
 """From the wait of a watch to the answer of the list behind it, when its connection is silent."""
 OWN_LIMITS = CallerLimits(header_bytes=8 * 1024, body_bytes=1024, header_s=3.0, idle_s=30.0)
+"""For the platform's and the operators' questions, which have no body."""
 RETURN_UNKNOWN_S = 0.5
 """When to come back to an instance that knows no configuration yet."""
 
 log = logbook.Logger("instance")
 
 
-@dataclass(frozen=True, slots=True)
-class Reader:
-    """Functions of the adapter that decode stored objects; they raise ``error``."""
-
-    read_server: Callable[[str, bytes], ServerEntry]
-    read_config: Callable[[bytes], RoutingConfig]
-    read_look: Callable[[str], Look | None]
-    look_answer: Callable[[list[str], float], dict]
-    error: type[Exception]
-    config_kind: str
-    config_name: str
-    server_kind: str
-    evacuation_kind: str
-    ready_path: str
-
-
 class EntryInstance:
     """Serves callers until a stop is requested."""
 
@@ -113,17 +98,12 @@
         self._stop = asyncio.Event()
         self.is_leaving = False
         self._is_listening = False
-        self._take_by_kind: dict[str, Callable[[KindNews], None]] = {
-            reader.config_kind: self._take_config,
-            reader.server_kind: self._take_servers,
-            reader.evacuation_kind: self._take_evacuations,
-            INSTANCE_KIND: self._take_instances,
-            CRASH_KIND: self._take_crashes,
-        }
-        kinds = tuple(self._take_by_kind)
-        self.copy = StoreCopy(kinds, lambda news: self._take_by_kind[news.kind](news))
         self._relays = Relays(_own_entry(settings, int(time.time() * 1000)))
         self._links = LinkPool()
+        owners = Owners()
+        self.desk = Desk(self._relays.own, owners, servers, Places(self._cold_per_s), self._links)
+        self._beliefs = Beliefs(self.shared, reader, self._relays, owners, self.desk)
+        self.copy = StoreCopy(self._beliefs.kinds, self._beliefs.take)
         self.follower = Follower(
             self._relays,
             self.copy,
@@ -133,10 +113,6 @@
             rng,
             self._watch_waits(),
         )
-        self._owners = Owners()
-        self.desk = Desk(
-            self._relays.own, self._owners, servers, Places(self._cold_per_s), self._links
-        )
         self._peers = LinkServer(settings.peer_listener, self._handle_peer)
 
     @property
@@ -239,9 +215,8 @@
         settings = self.settings
         longest_s = settings.history_s * HISTORY_SHARE
         bounded_s = max(1.0, settings.bounds.contact_s - SILENCE_MARGIN_S)
-        reader = self._reader
-        bounded = (reader.config_kind, reader.server_kind, reader.evacuation_kind)
-        return {kind: bounded_s if kind in bounded else longest_s for kind in self._take_by_kind}
+        bounded = self._beliefs.bounded_kinds
+        return {kind: bounded_s if kind in bounded else longest_s for kind in self._beliefs.kinds}
 
     def _limits(self) -> CallerLimits:
         return self.shared.routes.limits
@@ -334,86 +309,7 @@
             **fields,
         )
 
-    # What the store says.
-
-    def _take_config(self, news: KindNews) -> None:
-        for name, value in news.changes:
-            if name != self._reader.config_name or value is None:
-                continue
-            try:
-                config = self._reader.read_config(value)
-            except self._reader.error as error:
-                log.warning("configuration refused", error=str(error), revision=news.revision)
-                continue
-            if self.shared.routes.take(config):
-                log.info("configuration in force", version=config.version, revision=news.revision)
-                self.desk.note_change()
-
-    def _take_servers(self, news: KindNews) -> None:
-        servers, is_after = self.shared.servers, news.is_after_outage
-        entries = [self._read_server(name, value) for name, value in news.changes]
-        if news.is_whole:
-            servers.replace_all([entry for entry in entries if entry], is_after, now())
-            log.info("server list", servers=len(entries), after_outage=is_after)
-        else:
-            for (name, _), entry in zip(news.changes, entries, strict=True):
-                self._take_server(name, entry, is_after)
-        self.desk.note_change()
-
-    def _take_server(self, name: str, entry: ServerEntry | None, is_after_outage: bool) -> None:
-        if entry:
-            self.shared.servers.put(entry, now())
-            log.info("server", id=entry.id, phase=entry.phase, cold_s=entry.cold_left_s)
-        else:
-            self.shared.servers.remove(name, is_after_outage, now())
-            log.info("server gone", id=name, after_outage=is_after_outage)
-
-    def _read_server(self, name: str, value: bytes | None) -> ServerEntry | None:
-        if value is None:
-            return None
-        try:
-            return self._reader.read_server(name, value)
-        except self._reader.error as error:
-            log.warning("server entry refused", error=str(error))
-            return None
-
-    def _take_evacuations(self, news: KindNews) -> None:
-        domains = set() if news.is_whole else set(self.shared.servers.evacuated)
-        for name, value in news.changes:
-            if value is None:
-                domains.discard(name)
-            else:
-                domains.add(name)
-        config = self.shared.routes.config
-        rules = config.service_by_name.values() if config else ()
-        cold_s = max((rule.cold_s for rule in rules), default=0.0)
-        self.shared.servers.set_evacuated(domains, cold_s, now())
-        log.info("evacuations", failure_domains=sorted(domains), revision=news.revision)
-        self.desk.note_change()
-
-    def _take_instances(self, news: KindNews) -> None:
-        entry_by_name = {} if news.is_whole else dict(self._relays.entry_by_name)
-        for name, value in news.changes:
-            entry_by_name.pop(name, None)
-            if value is None:
-                continue
-            try:
-                entry_by_name[name] = msgspec.json.decode(value, type=InstanceEntry)
-            except (msgspec.ValidationError, msgspec.DecodeError) as error:
-                log.warning("instance entry refused", name=name, error=str(error))
-        self._relays.replace_all(entry_by_name.values())
-        self._owners.set_instances(entry_by_name)
-        self.shared.instances = max(1, len(entry_by_name))
-        log.info("instances", count=len(entry_by_name), revision=news.revision)
-
-    def _take_crashes(self, news: KindNews) -> None:
-        for name, value in news.changes:
-            if value is None:
-                continue
-            try:
-                self.shared.crashes.take(value, now())
-            except (msgspec.ValidationError, msgspec.DecodeError) as error:
-                log.warning("crash record refused", name=name, error=str(error))
+    # Other instances and the store.
 
     def _handle_peer(self, message: Any) -> Any:
         if isinstance(message, Follow):
--- a/papayalever/platform/program.py
+++ b/papayalever/platform/program.py
@@ -10,7 +10,8 @@
 
 import logbook
 
-from ..entry.instance import EntryInstance, Reader
+from ..entry.beliefs import Reader
+from ..entry.instance import EntryInstance
 from ..entry.logs import JsonLines
 from ..entry.settings import EntrySettings
 from ..entry.shared import Dialect
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -5,8 +5,8 @@
 
 import logbook
 
+from papayalever.entry.beliefs import INSTANCE_KIND
 from papayalever.entry.crashes import CRASH_KIND
-from papayalever.entry.instance import INSTANCE_KIND
 from papayalever.platform.boot import parse_boot
 
 from .soak.proxy import Fault, FaultProxy
