Hear at a server's owner how every send ended, and forget rested connections that were gone

Cause: a server whose health answers are good but that fails or never answers all it runs was never left alone: a sealed 500 counted as a success, a request that was ended by its time limit counted as nothing, and each instance would have had to learn by itself. A connection that a server had forgotten (rested 0.3 s) lost every request that must not repeat until it was 3 s old. A server's own failure was replaced by a 502 when the repeat of an idempotent request brought nothing.

Rests after which a connection was found gone are learned for each service (routing/idle.py). The server's own failure is kept and delivered.

--- a/papayalever/cluster/messages.py
+++ b/papayalever/cluster/messages.py
@@ -377,3 +377,5 @@
     """Time from the send to the answer; 0 if there was no answer."""
     running: int
     """The server's own count of running and waiting requests, -1 if it told none."""
+    end: str = "unknown"
+    """How the send ended, a value of `routing.health.RunEnd`."""
--- a/papayalever/entry/connection.py
+++ b/papayalever/entry/connection.py
@@ -24,6 +24,9 @@
 
     NOT_CONNECTED = auto()
     """Nothing was sent."""
+    STALE = auto()
+    """The connection ended right behind a request that followed a rest: the peer had forgotten it.
+    The request may have run all the same."""
     LOST = auto()
     """The connection ended; the request may have run."""
     GARBLED = auto()
@@ -63,6 +66,8 @@
         self.is_usable = True
         """Whether another request may be sent."""
         self.idle_since = 0.0
+        self.rested_s = 0.0
+        """How long it had rested before its newest request, 0 for the first one."""
         self.used = 0
         self.idle_limit_s: float | None = None
         """Idle time after which the peer closes, as it said last."""
--- a/papayalever/entry/desk.py
+++ b/papayalever/entry/desk.py
@@ -10,6 +10,7 @@
 from ..cluster.exceptions import PeerTimeoutError, PeerUnreachableError
 from ..cluster.links import LinkPool
 from ..cluster.messages import AskPlace, AwaitPlace, PlaceReply, PlaceState, ReturnPlace
+from ..routing.health import RunEnd
 from ..routing.owners import Owners
 from ..routing.places import Ask, PlaceId, Places, Verdict
 from ..routing.relays import InstanceEntry
@@ -106,26 +107,26 @@
             is_held = verdict.state == PlaceState.GRANTED and self._servers.may_send(server)
         finally:
             if not is_held:
-                self.release(place, 0.0, -1)
+                self.release(place, 0.0, -1, RunEnd.UNKNOWN)
         if not is_held:
             self._servers.note_crowded(server, now())
             return Verdict(PlaceState.REFUSED, verdict.wait_s)
         self._servers.note_start(server)
         return place
 
-    def release(self, place: Place, ran_s: float, running: int) -> None:
+    def release(self, place: Place, ran_s: float, running: int, end: RunEnd) -> None:
         """Return a place or leave the line; ``running`` is the server's own count or -1."""
         if self._is_own(place):
-            self._places.give_back((self._own.name, place.number), ran_s, running, now())
+            self._places.give_back((self._own.name, place.number), ran_s, running, now(), end)
             self._note_room()
             return
-        message = ReturnPlace(self._own.name, place.number, int(ran_s * 1000), running)
+        message = ReturnPlace(self._own.name, place.number, int(ran_s * 1000), running, str(end))
         self._start(self._tell(place.owner, message))
 
-    def note_end(self, place: Place, ran_s: float, running: int) -> None:
+    def note_end(self, place: Place, ran_s: float, running: int, end: RunEnd) -> None:
         """The send of a granted place has ended."""
         self._servers.note_end(place.server)
-        self.release(place, ran_s, running)
+        self.release(place, ran_s, running, end)
 
     def _is_own(self, place: Place) -> bool:
         return place.owner is None or place.owner.name == self._own.name
@@ -244,7 +245,8 @@
         """Take a place back."""
         place = (message.instance, message.number)
         self._waiter_by_id.pop(place, None)
-        self._places.give_back(place, message.ran_ms / 1000, message.running, now())
+        end = RunEnd(message.end)
+        self._places.give_back(place, message.ran_ms / 1000, message.running, now(), end)
         self._note_room()
 
     def note_change(self) -> None:
--- a/papayalever/entry/exchange.py
+++ b/papayalever/entry/exchange.py
@@ -6,6 +6,7 @@
 
 import logbook
 
+from ..routing.health import RunEnd, judge_silence
 from ..routing.placement import Claim, Placement
 from ..routing.routes import RouteRule
 from ..routing.servers import Server
@@ -89,6 +90,8 @@
         self._avoid: set[str] = set()
         self._connects = 0
         self._sends = 0
+        self._failure: Answer | None = None
+        """A server's own failure, for the caller if no repeat brings anything better."""
         self.story = Story()
 
     def describe(self) -> dict:
@@ -126,7 +129,8 @@
             if isinstance(outcome, Answer):
                 return outcome
             self.story.failures.append(outcome)
-            self._avoid.add(place.server.id)
+            if outcome != SendFailure.STALE:
+                self._avoid.add(place.server.id)
             self._shared.metrics.count("failed_sends", outcome)
             if not self._may_try_again():
                 return self._give_up(outcome)
@@ -191,7 +195,7 @@
     async def _try(self, place: Place) -> Answer | str:
         """One send: the answer for the caller, or why there is none."""
         shared, server = self._shared, place.server
-        started, ran_s, running = now(), 0.0, -1
+        started, ran_s, running, end = now(), 0.0, -1, RunEnd.UNKNOWN
         self.story.servers.append(server.id)
         self.story.loads.append(server.load(started))
         try:
@@ -202,13 +206,20 @@
                 shared.servers.note_load(server, answer.load.running, answer.load.waiting, now())
             if kind not in (AnswerKind.NOT_RUN, AnswerKind.OTHER_SERVER):
                 ran_s = now() - started
+            end = judge_answer(answer.status, kind)
             return self._judge(server, answer, kind)
         except SendError as error:
+            if error.failure == SendFailure.STALE:
+                return str(error.failure)
+            end = RunEnd.FAILED
             if error.failure == SendFailure.LOST:
                 await self._note_crash(server)
             return self._note_failed(server, error)
+        except asyncio.CancelledError:
+            end = judge_silence(now() - started, self._route.aim_s)
+            raise
         finally:
-            self._desk.note_end(place, ran_s, running)
+            self._desk.note_end(place, ran_s, running, end)
 
     async def _send(self, server: Server) -> ServerAnswer:
         shared = self._shared
@@ -217,6 +228,7 @@
         had_run = self.story.may_have_run
         self.story.may_have_run = True
         self._sends += 1
+        started = now()
         try:
             answer = await connection.send(
                 self._encode(entry.id), self._belongs, self._request.method == b"HEAD"
@@ -225,6 +237,10 @@
             if error.failure == SendFailure.NOT_CONNECTED:
                 self.story.may_have_run = had_run
                 self._sends -= 1
+            is_lost = error.failure == SendFailure.LOST
+            if is_lost and shared.pool.note_lost(entry, connection, now() - started):
+                log.info("rested connection lost", server=entry.id, rested_s=connection.rested_s)
+                raise SendError(SendFailure.STALE, error.detail) from error
             raise
         kind = shared.dialect.read_answer(answer)
         if kind in (AnswerKind.NOT_RUN, AnswerKind.OTHER_SERVER):
@@ -249,9 +265,11 @@
         if answer.status in PROMISES and kind == AnswerKind.SEALED:
             return "refusal that does not say that nothing ran"
         servers.note_success(server)
+        returned = Answer(answer.status, _returned(answer.headers), answer.body)
         if answer.status >= 500 and self._can_repeat():
+            self._failure = returned
             return "server error"
-        return Answer(answer.status, _returned(answer.headers), answer.body)
+        return returned
 
     def _is_quarantined(self) -> bool:
         crashes = self._shared.crashes
@@ -303,7 +321,9 @@
         return not self._sends or self._shared.budget(self.service).take(now())
 
     def _give_up(self, reason: str) -> Answer:
-        """The final answer of a request that no server answered."""
+        """The final answer of a request that no server answered well."""
+        if self._failure:
+            return self._failure
         if not self.story.may_have_run:
             return refuse(self._shared, reason, self._return_s)
         status = 504 if reason == "out of time" else 502
@@ -321,6 +341,14 @@
         return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
 
 
+def judge_answer(status: int, kind: AnswerKind) -> RunEnd:
+    """What a whole answer tells of its server's health."""
+    if kind in (AnswerKind.NOT_RUN, AnswerKind.OTHER_SERVER):
+        return RunEnd.UNKNOWN
+    is_good = status < 500 and (kind == AnswerKind.SEALED or status >= 400)
+    return RunEnd.GOOD if is_good else RunEnd.FAILED
+
+
 def refuse(shared: Shared, reason: str, return_s: float) -> Answer:
     """A refusal of a request that has not run, and when to come back."""
     headers = [(b"Content-Type", b"text/plain"), shared.dialect.retry_after(return_s)]
--- a/papayalever/entry/pool.py
+++ b/papayalever/entry/pool.py
@@ -1,8 +1,9 @@
 """Pooled connections to backend servers."""
 
 import asyncio
-from collections import deque
+from collections import defaultdict, deque
 
+from ..routing.idle import IdleTrust
 from ..routing.servers import ServerEntry
 from .connection import PeerConnection, connect
 
@@ -12,8 +13,6 @@
 """Servers that do not say so close after 10 s."""
 IDLE_MARGIN_S = 1.0
 """Taken off the idle time that a server states: its close may be on its way."""
-FRESH_S = 3.0
-"""Requests that must not be repeated only use connections that lately carried an answer."""
 
 
 class Pool:
@@ -21,25 +20,34 @@
 
     def __init__(self) -> None:
         self._idle_by_id: dict[str, deque[PeerConnection]] = {}
+        self._trust_by_service: defaultdict[str, IdleTrust] = defaultdict(IdleTrust)
         self.opened = 0
 
-    async def acquire(self, server: ServerEntry, must_be_fresh: bool) -> PeerConnection:
+    async def acquire(self, server: ServerEntry, must_not_repeat: bool) -> PeerConnection:
         """An idle connection or a new one; raises `SendError`."""
         now = asyncio.get_running_loop().time()
+        trusted_s = self._trust_by_service[server.service].limit_s(must_not_repeat, now)
         idle = self._idle_by_id.get(server.id)
         while idle:
             connection = idle.pop()
-            idle_s = now - connection.idle_since
-            if not connection.is_usable or idle_s > _idle_limit(connection):
+            rested_s = now - connection.idle_since
+            if not connection.is_usable or rested_s > _idle_limit(connection):
                 connection.close()
-            elif must_be_fresh and idle_s > FRESH_S:
+            elif rested_s > trusted_s:
                 idle.append(connection)
                 break
             else:
+                connection.rested_s = rested_s
                 return connection
         self.opened += 1
         return await connect(server.address, CONNECT_S)
 
+    def note_lost(self, server: ServerEntry, connection: PeerConnection, after_s: float) -> bool:
+        """A connection ended ``after_s`` behind a request; returns whether its rest is the cause."""
+        now = asyncio.get_running_loop().time()
+        trust = self._trust_by_service[server.service]
+        return trust.note_lost(connection.rested_s, after_s, now)
+
     def release(self, server: ServerEntry, connection: PeerConnection) -> None:
         """Keep a connection for the next request."""
         if not connection.is_usable:
--- a/papayalever/routing/places.py
+++ b/papayalever/routing/places.py
@@ -14,6 +14,7 @@
 from itertools import count
 
 from ..cluster.messages import PlaceState
+from .health import RunEnd, ServerHealth
 from .servers import Server
 
 EXTRA_PLACES = 1
@@ -72,6 +73,7 @@
     cold_grants: list[float] = field(default_factory=list)
     known_objects: OrderedDict[str, None] = field(default_factory=OrderedDict)
     """Objects that it handled lately, the last one at the end."""
+    health: ServerHealth = field(default_factory=ServerHealth)
 
     def note_object(self, key: str) -> None:
         """Remember the object of a granted request."""
@@ -128,6 +130,9 @@
             wait_s = self._expected_wait_s(places, ask, now)
             self._grant(places, ask, now)
             return Verdict(PlaceState.GRANTED if has_room else PlaceState.QUEUED, wait_s)
+        if places.health.is_failing and not self._has_room(places, now):
+            # Another server may serve it in time; a line here would wait for a trial to end.
+            return Verdict(PlaceState.REFUSED, places.run_s(ask))
         if ask.is_substitute:
             is_known = ask.object_key in places.known_objects
             has_spare = is_known or places.taken(now) < server.entry.slots * SPARE_SHARE
@@ -143,7 +148,9 @@
         self._server_by_id[ask.id] = server.id
         return Verdict(PlaceState.QUEUED, wait_s)
 
-    def give_back(self, place: PlaceId, ran_s: float, running: int, now: float) -> None:
+    def give_back(
+        self, place: PlaceId, ran_s: float, running: int, now: float, end: RunEnd = RunEnd.UNKNOWN
+    ) -> None:
         """Free a place or leave the line; ``running`` below 0 is no report."""
         places = self._places_by_server.get(self._server_by_id.pop(place, ""))
         if places is None:
@@ -151,8 +158,9 @@
         places.waiting_by_id.pop(place, None)
         if places.lease_by_id.pop(place, None) is None:
             return
+        places.health.note(end, now)
         key = places.run_key_by_id.pop(place, None)
-        if ran_s > 0 and key:
+        if ran_s > 0 and key and end != RunEnd.FAILED:
             places.note_run(key, ran_s)
         if running >= 0:
             places.others = max(0, running - len(places.lease_by_id) - 1)
@@ -185,7 +193,9 @@
             if may_send and self._has_room(places, now):
                 del places.waiting_by_id[ask.id]
                 decided.append((ask.id, self._grant(places, ask, now)))
-            elif not may_send or now >= self._leave_at(places, ask, now):
+            elif (
+                not may_send or places.health.is_failing or now >= self._leave_at(places, ask, now)
+            ):
                 del places.waiting_by_id[ask.id]
                 self._server_by_id.pop(ask.id, None)
                 decided.append((ask.id, Verdict(PlaceState.REFUSED, places.run_s(ask))))
@@ -202,7 +212,8 @@
 
     def _has_room(self, places: ServerPlaces, now: float) -> bool:
         server = places.server
-        if now < server.full_until or places.taken(now) >= server.entry.slots + EXTRA_PLACES:
+        most = places.health.limit_places(server.entry.slots + EXTRA_PLACES, now)
+        if now < server.full_until or places.taken(now) >= most:
             return False
         if not server.is_cold(now):
             return True
