--- a/papayalever/entry/pool.py
+++ b/papayalever/entry/pool.py
@@ -43,7 +43,7 @@
         return await connect(server.address, CONNECT_S)
 
     def note_lost(self, server: ServerEntry, connection: PeerConnection, after_s: float) -> bool:
-        """A connection ended ``after_s`` behind a request; returns whether its rest is the cause."""
+        """A connection ended ``after_s`` behind a request; returns whether it was stale."""
         now = asyncio.get_running_loop().time()
         trust = self._trust_by_service[server.service]
         return trust.note_lost(connection.rested_s, after_s, now)
