Remove leftovers from the store, and notice an owner that goes silent while one waits

Cause, silent owner: a request in line waited for the owner's word until its own end, so that a link that went silent after the question cost it all its time. A verdict that falls between two questions is kept.

--- a/papayalever/entry/beliefs.py
+++ b/papayalever/entry/beliefs.py
@@ -43,8 +43,16 @@
     """Takes news of all kinds over into the tables that decide about requests."""
 
     def __init__(
-        self, shared: Shared, reader: Reader, relays: Relays, owners: Owners, desk: Desk
+        self,
+        shared: Shared,
+        reader: Reader,
+        relays: Relays,
+        owners: Owners,
+        desk: Desk,
+        on_missing: Callable[[], None],
     ) -> None:
+        self._on_missing = on_missing
+        """Called when the store does not list this instance."""
         self._shared = shared
         self._reader = reader
         self._relays = relays
@@ -142,12 +150,15 @@
         self._owners.set_instances(entry_by_name)
         self._shared.instances = max(1, len(entry_by_name))
         log.info("instances", count=len(entry_by_name), revision=news.revision)
+        if self._relays.own.name not in entry_by_name:
+            self._on_missing()
 
     def _take_crashes(self, news: KindNews) -> None:
         for name, value in news.changes:
             if value is None:
+                self._shared.crashes.forget_record(name)
                 continue
             try:
-                self._shared.crashes.take(value, now())
+                self._shared.crashes.take(name, value, now())
             except (msgspec.ValidationError, msgspec.DecodeError) as error:
                 log.warning("crash record refused", name=name, error=str(error))
--- a/papayalever/entry/crashes.py
+++ b/papayalever/entry/crashes.py
@@ -11,7 +11,7 @@
 import logbook
 import msgspec
 
-from ..routing.quarantine import CrashLog
+from ..routing.quarantine import CRASH_WINDOW_S, CrashLog
 from .feed import FeedError
 from .store_view import InstanceStore
 
@@ -37,15 +37,26 @@
     store: InstanceStore
     instance: str
     known: CrashLog = field(default_factory=CrashLog)
+    taken_at_by_name: dict[str, float] = field(default_factory=dict)
+    """Records in the store and when this instance heard of them."""
     _published: deque[float] = field(default_factory=deque)
     _number: int = 0
     _tasks: set[asyncio.Task] = field(default_factory=set)
 
-    def take(self, value: bytes, now: float) -> None:
+    def take(self, name: str, value: bytes, now: float) -> None:
         """Take over a record of another instance; raises `msgspec.ValidationError`."""
+        self.taken_at_by_name[name] = now
         record = msgspec.json.decode(value, type=CrashRecord)
         self.known.note(record.digest, record.server, now)
 
+    def forget_record(self, name: str) -> None:
+        """A record was removed from the store."""
+        self.taken_at_by_name.pop(name, None)
+
+    def old_records(self, now: float) -> list[str]:
+        """Names of records in the store that no decision uses any more."""
+        return [name for name, at in self.taken_at_by_name.items() if now - at > CRASH_WINDOW_S]
+
     def is_quarantined(self, digest: str, now: float) -> bool:
         """Whether the request crashed so many servers that it is not sent again."""
         return self.known.is_quarantined(digest, now)
--- a/papayalever/entry/desk.py
+++ b/papayalever/entry/desk.py
@@ -25,6 +25,10 @@
 KEPT_VERDICT_S = 1.0
 """How long a verdict waits for the instance that asked: its question is on the way."""
 
+AWAIT_S = 0.5
+"""How long an owner holds the question of one that waits: a connection that went silent shows at
+the next one."""
+
 LONG_WAIT_S = 0.1
 """Expected wait above which a place elsewhere is looked for: half of a warm run."""
 
@@ -181,7 +185,10 @@
         if self._is_own(place):
             return await self._wait((self._own.name, place.number))
         waiting = AwaitPlace(self._own.name, place.number)
-        return await self._call(place, waiting, max(0.0, want.over_at - now()) + ANSWER_S)
+        verdict = Verdict(PlaceState.QUEUED)
+        while verdict.state == PlaceState.QUEUED and now() < want.over_at:
+            verdict = await self._call(place, waiting, AWAIT_S + ANSWER_S)
+        return verdict
 
     async def _call(self, place: Place, question: AskPlace | AwaitPlace, most_s: float) -> Verdict:
         owner, server = place.owner, place.server
@@ -235,11 +242,16 @@
         return _reply(verdict)
 
     async def handle_await(self, message: AwaitPlace) -> PlaceReply:
-        """Answer when a queued question is decided."""
+        """Answer when a queued question is decided, or that it is not yet."""
         place = (message.instance, message.number)
-        if place not in self._waiter_by_id:
+        waiter = self._waiter_by_id.get(place)
+        if waiter is None:
             return PlaceReply(PlaceState.REFUSED, 0)
-        return _reply(await self._wait(place))
+        await asyncio.wait({waiter}, timeout=AWAIT_S)
+        if not waiter.done():
+            return PlaceReply(PlaceState.QUEUED, 0)
+        self._waiter_by_id.pop(place, None)
+        return PlaceReply(PlaceState.REFUSED, 0) if waiter.cancelled() else _reply(waiter.result())
 
     def handle_return(self, message: ReturnPlace) -> None:
         """Take a place back."""
--- a/papayalever/entry/instance.py
+++ b/papayalever/entry/instance.py
@@ -30,6 +30,7 @@
 from .exchange import Exchange, refuse
 from .feed import HISTORY_SHARE, FeedError
 from .follower import Follower
+from .housekeeping import Housekeeping
 from .messages import Answer, CallerRequest, RequestMeta
 from .metrics import EntryMetrics
 from .pool import Pool
@@ -108,7 +109,12 @@
             Places(self._cold_per_s, servers.may_send),
             self._links,
         )
-        self._beliefs = Beliefs(self.shared, reader, self._relays, owners, self.desk)
+        self._must_register = asyncio.Event()
+        self._must_register.set()
+        self._is_registered = False
+        self._beliefs = Beliefs(
+            self.shared, reader, self._relays, owners, self.desk, self._note_missing
+        )
         self.copy = StoreCopy(self._beliefs.kinds, self._beliefs.take)
         self.follower = Follower(
             self._relays,
@@ -119,6 +125,9 @@
             rng,
             self._watch_waits(),
         )
+        self._housekeeping = Housekeeping(
+            self._relays, self.copy, self.shared.crashes, store, self._links, INSTANCE_KIND
+        )
         self._peers = LinkServer(settings.peer_listener, self._handle_peer)
 
     @property
@@ -151,7 +160,13 @@
         """Serve until a stop is requested, then finish what was accepted."""
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.request_stop)
-        work = (self.follower.run(), self.follower.ask_seeds(), self._register(), self._sweep())
+        work = (
+            self.follower.run(),
+            self.follower.ask_seeds(),
+            self._register(),
+            self._sweep(),
+            self._housekeeping.run(),
+        )
         tasks = [loop.create_task(item) for item in work]
         settings = self.settings
         await self._peers.start()
@@ -330,15 +345,25 @@
         return None
 
     async def _register(self) -> None:
-        """Let the others know of this instance; nobody waits for it."""
+        """Let the others know of this instance whenever the store does not list it."""
         while True:
+            await self._must_register.wait()
             try:
                 entry = msgspec.to_builtins(self._relays.own)
                 await self._store.publish(INSTANCE_KIND, self.settings.instance, entry)
-                return
             except FeedError as error:
                 log.warning("not registered yet", error=str(error))
                 await asyncio.sleep(REGISTER_PAUSE_S)
+                continue
+            self._must_register.clear()
+            self._is_registered = True
+
+    def _note_missing(self) -> None:
+        """The entry was removed, by mistake or by who took this instance for gone."""
+        if self._is_registered and not self.is_leaving:
+            log.warning("entry missing, writing it again", instance=self.settings.instance)
+            self._is_registered = False
+            self._must_register.set()
 
     def _cold_per_s(self, service: str) -> float:
         config = self.shared.routes.config
--- a/papayalever/routing/relays.py
+++ b/papayalever/routing/relays.py
@@ -11,6 +11,8 @@
 
 SUSPECT_S = 4.0
 """How long an instance that did not answer is not asked again."""
+GONE_AFTER_S = 600.0
+"""Silence after which an instance counts as gone for good: regions lose each other for minutes."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +54,12 @@
         """Whether this instance reads the store."""
         return not self._region_seniors(now)
 
+    def is_most_senior(self, now: float) -> bool:
+        """Whether no live instance of any region is more senior."""
+        regions = {entry.region for entry in self.entry_by_name.values()}
+        live = (entry for region in regions for entry in self._live(region, now))
+        return all(_rank(self.own) < _rank(entry) for entry in live)
+
     def candidates(self, now: float) -> list[InstanceEntry]:
         """Whom to follow, the best first; in the own region only those that are more senior."""
         seniors = self._region_seniors(now)
@@ -75,5 +83,20 @@
         return sorted(found, key=_rank)
 
 
+@dataclass(slots=True)
+class Absences:
+    """Since when registered instances have not answered."""
+
+    _since_by_name: dict[str, float] = field(default_factory=dict)
+
+    def note(self, name: str, has_answered: bool, now: float) -> bool:
+        """Take an answer or its absence; returns whether the instance is gone for good."""
+        if has_answered:
+            self._since_by_name.pop(name, None)
+            return False
+        since = self._since_by_name.setdefault(name, now)
+        return now - since >= GONE_AFTER_S
+
+
 def _rank(entry: InstanceEntry) -> tuple[int, str]:
     return (entry.started_ms, entry.name)
--- /dev/null
+++ b/tests/test_desk.py
@@ -0,0 +1,76 @@
+"""Places asked for over links that fail, with the links as fakes."""
+
+import asyncio
+import unittest
+
+from papayalever.cluster.exceptions import PeerTimeoutError
+from papayalever.cluster.messages import AskPlace, AwaitPlace, PlaceReply, PlaceState, ReturnPlace
+from papayalever.entry.clock import now
+from papayalever.entry.desk import ANSWER_S, AWAIT_S, Desk, Want
+from papayalever.routing.owners import Owners
+from papayalever.routing.placement import Claim, Placement
+from papayalever.routing.places import Places
+from papayalever.routing.relays import Relays
+from papayalever.routing.servers import ServerTable
+
+from .test_decisions import instance_entry, server_entry
+
+LEASE_S = 5.0
+SLACK_S = 0.5
+"""For a busy machine."""
+
+
+class SilentPool:
+    """Links to an owner that queues a question and then goes silent."""
+
+    def __init__(self) -> None:
+        self.notices: list[ReturnPlace] = []
+
+    async def request(self, address: str, message: object, timeout_s: float) -> PlaceReply:
+        if isinstance(message, AskPlace):
+            return PlaceReply(PlaceState.QUEUED, 50)
+        await asyncio.sleep(timeout_s)
+        raise PeerTimeoutError(f"{address} did not answer")
+
+    async def notify(self, address: str, message: ReturnPlace, timeout_s: float) -> None:
+        self.notices.append(message)
+
+
+def build_desk(own: str, pool: object) -> tuple[Desk, ServerTable]:
+    table = ServerTable()
+    table.put(server_entry(1), now())
+    owners = Owners()
+    owners.set_instances({"owner": instance_entry("owner")})
+    places = Places(lambda service: 1.0, table.may_send)
+    return Desk(Relays(instance_entry(own)).own, owners, table, places, pool), table
+
+
+def want() -> Want:
+    return Want(0, now() + 0.5, now() + LEASE_S, "o1", False)
+
+
+def ask(instance: str, number: int) -> AskPlace:
+    return AskPlace(instance, number, "i-1", 0, 500, int(LEASE_S * 1000), "o1", False, False)
+
+
+class TestSilentOwner(unittest.IsolatedAsyncioTestCase):
+    async def test_wait_for_an_owner_that_went_silent_ends_soon(self):
+        desk, table = build_desk("asker", SilentPool())
+        server = Placement(table, "noord", {}).order(Claim("logboek", "o1", frozenset()))[0]
+        began = now()
+        await desk.acquire(server, want())
+        self.assertLess(now() - began, AWAIT_S + ANSWER_S + SLACK_S)
+
+
+class TestWaiting(unittest.IsolatedAsyncioTestCase):
+    async def test_verdict_between_two_questions_is_kept_for_the_next(self):
+        desk, _ = build_desk("owner", SilentPool())
+        for number in range(1, 5):
+            self.assertEqual(PlaceState.GRANTED, desk.handle_ask(ask("other", number)).state)
+        self.assertEqual(PlaceState.QUEUED, desk.handle_ask(ask("other", 5)).state)
+        waiting = AwaitPlace("other", 5)
+        self.assertEqual(PlaceState.QUEUED, (await desk.handle_await(waiting)).state)
+        desk.handle_return(ReturnPlace("other", 1, 100, -1, "good"))
+        await asyncio.sleep(0.05)
+        self.assertEqual(PlaceState.GRANTED, (await desk.handle_await(waiting)).state)
+        self.assertEqual(PlaceState.REFUSED, (await desk.handle_await(waiting)).state)
