Answer at once when the program itself fails, and bound what a rest of connections learned

The exception ended the handler without an answer, so that each caller waited until its deadline.

Change: what was learned is forgotten after 100 s; any fault of the program in a handler is logged and answered with 502 at once, which promises nothing.

Tests, both failing before: test_server_health.TestIdleTrust.test_any_uptime_of_the_machine_will_do, test_entry.TestOwnFaults.

--- a/papayalever/entry/caller.py
+++ b/papayalever/entry/caller.py
@@ -10,6 +10,7 @@
 from http import HTTPStatus
 
 import httptools
+import logbook
 
 from ..routing.routes import CallerLimits
 from .messages import Answer, CallerRequest
@@ -21,6 +22,8 @@
 TIMER_STEP_S = 0.25
 """How exactly the limits of time on a connection are kept."""
 
+log = logbook.Logger("caller")
+
 Handle = Callable[[CallerRequest], Awaitable[Answer]]
 
 
@@ -213,6 +216,10 @@
     async def _answer(self, request: CallerRequest) -> Answer:
         try:
             answer = await self._handle(request)
+        except Exception as error:
+            # A fault of the program must not hold its caller; what ran is not known.
+            log.error("handler failed", target=request.target, error=repr(error))
+            answer = Answer(HTTPStatus.BAD_GATEWAY, [], b"internal error\n", "internal error")
         finally:
             self._hold(-len(request.body))
         answer.must_close = answer.must_close or not request.keep_alive
--- a/papayalever/routing/idle.py
+++ b/papayalever/routing/idle.py
@@ -20,6 +20,8 @@
 """Shorter rests are those of a busy server, whose connections end for other reasons."""
 DOUBLED_EACH_S = 10.0
 """How fast what was learned is forgotten: such faults last some seconds."""
+FORGOTTEN_S = 100.0
+"""Ten doublings: nothing is left of it."""
 
 
 @dataclass(slots=True)
@@ -31,7 +33,9 @@
 
     def limit_s(self, must_not_repeat: bool, now: float) -> float:
         """Rest after which a connection is replaced by a new one."""
-        learned_s = self.learned_s * 2 ** ((now - self.learned_at) / DOUBLED_EACH_S)
+        age_s = now - self.learned_at
+        is_forgotten = age_s > FORGOTTEN_S
+        learned_s = float("inf") if is_forgotten else self.learned_s * 2 ** (age_s / DOUBLED_EACH_S)
         return min(learned_s, FRESH_S) if must_not_repeat else learned_s
 
     def note_lost(self, rested_s: float, lost_after_s: float, now: float) -> bool:
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -678,3 +678,16 @@
         self.assertEqual([instances[0].settings.instance], names)
         task = self.platform._task_by_name[leaving.settings.instance]
         await asyncio.wait_for(asyncio.shield(task), 6.0)
+
+
+class TestOwnFaults(PlatformCase):
+    async def test_error_of_our_own_ends_the_request_at_once_without_a_promise(self):
+        await self.platform.add_server()
+        instance = await self.platform.ready_instance()
+
+        def break_down(*_) -> None:
+            raise ArithmeticError("a fault of the program")
+
+        instance.shared.pool.acquire = break_down
+        reply = await asyncio.wait_for(self.platform.ask(instance, "/lookup/1"), 1.0)
+        self.assertEqual(502, reply.status)
--- /dev/null
+++ b/tests/test_server_health.py
@@ -0,0 +1,122 @@
+"""Decisions about servers that fail and connections that rested, in virtual time."""
+
+import unittest
+
+from papayalever.cluster.messages import PlaceState
+from papayalever.routing.health import (
+    FAILURES_TO_EJECT,
+    MAX_EJECT_S,
+    MIN_STALL_S,
+    RunEnd,
+    ServerHealth,
+    judge_silence,
+)
+from papayalever.routing.idle import DOUBLED_EACH_S, FRESH_S, LEAST_S, LOST_AT_ONCE_S, IdleTrust
+from papayalever.routing.places import Ask, Places
+from papayalever.routing.servers import Server
+
+from .test_decisions import server_entry
+
+PLACES = 4
+LONG_UPTIME_S = 1e9
+"""A monotonic clock counts from the machine's start, or from anywhere."""
+
+
+def ask(number: int, now: float = 0.0, **changes) -> Ask:
+    fields = {"rank": 0, "asked_at": now, "aim_at": now + 0.5, "lease_at": now + 2.0}
+    return Ask(("edge", number), object_key=f"o{number}", **(fields | changes))
+
+
+class TestServerHealth(unittest.TestCase):
+    def test_single_failures_change_nothing(self):
+        health = ServerHealth()
+        for end in (RunEnd.FAILED, RunEnd.FAILED, RunEnd.GOOD) * 5:
+            health.note(end, 0.0)
+            self.assertEqual(PLACES, health.limit_places(PLACES, 0.0))
+
+    def test_failures_in_a_row_eject_and_one_at_a_time_tries_it_afterwards(self):
+        health = ServerHealth()
+        for _ in range(FAILURES_TO_EJECT):
+            health.note(RunEnd.FAILED, 0.0)
+        self.assertEqual(0, health.limit_places(PLACES, 0.1))
+        self.assertEqual(1, health.limit_places(PLACES, MAX_EJECT_S))
+        health.note(RunEnd.GOOD, MAX_EJECT_S)
+        self.assertEqual(PLACES, health.limit_places(PLACES, MAX_EJECT_S))
+
+    def test_ejection_has_a_longest_time(self):
+        health = ServerHealth()
+        for _ in range(50):
+            health.note(RunEnd.FAILED, 0.0)
+        self.assertEqual(1, health.limit_places(PLACES, MAX_EJECT_S))
+
+    def test_ends_that_tell_nothing_count_neither_way(self):
+        health = ServerHealth()
+        for _ in range(FAILURES_TO_EJECT):
+            health.note(RunEnd.FAILED, 0.0)
+            health.note(RunEnd.UNKNOWN, 0.0)
+        self.assertTrue(health.is_failing)
+
+    def test_silence_counts_as_a_failure_only_when_it_was_long_beside_the_aim(self):
+        self.assertEqual(RunEnd.UNKNOWN, judge_silence(MIN_STALL_S - 0.1, 0.25))
+        self.assertEqual(RunEnd.FAILED, judge_silence(MIN_STALL_S, 0.25))
+        self.assertEqual(RunEnd.UNKNOWN, judge_silence(4.0, 3.0))
+        self.assertEqual(RunEnd.FAILED, judge_silence(6.0, 3.0))
+
+
+class TestPlacesOfAFailingServer(unittest.TestCase):
+    def setUp(self) -> None:
+        self.server = Server(server_entry(1))
+        self.places = Places(lambda service: 1.0, lambda server: True)
+
+    def fail(self, now: float) -> None:
+        for number in range(FAILURES_TO_EJECT):
+            self.places.ask(self.server, ask(number, now), now)
+            self.places.give_back(("edge", number), 0.0, -1, now, RunEnd.FAILED)
+
+    def test_asks_are_refused_at_once_and_lines_dissolve(self):
+        for number in range(100, 100 + PLACES):
+            self.places.ask(self.server, ask(number), 0.0)
+        queued = self.places.ask(self.server, ask(200), 0.0)
+        self.assertEqual(PlaceState.QUEUED, queued.state)
+        for number in range(100, 100 + FAILURES_TO_EJECT):
+            self.places.give_back(("edge", number), 0.0, -1, 0.1, RunEnd.FAILED)
+        decided = dict(self.places.settle(0.1))
+        self.assertEqual(PlaceState.REFUSED, decided["edge", 200].state)
+        self.assertEqual(PlaceState.REFUSED, self.places.ask(self.server, ask(201), 0.1).state)
+
+    def test_after_the_ejection_one_request_tries_the_server(self):
+        self.fail(0.0)
+        later = MAX_EJECT_S + 0.1
+        states = [self.places.ask(self.server, ask(n, later), later).state for n in range(50, 53)]
+        self.assertEqual([PlaceState.GRANTED, PlaceState.REFUSED, PlaceState.REFUSED], states)
+
+    def test_time_of_a_failed_run_is_no_run_time(self):
+        self.places.ask(self.server, ask(1), 0.0)
+        self.places.give_back(("edge", 1), 0.001, -1, 0.0, RunEnd.FAILED)
+        self.places.ask(self.server, ask(2), 0.0)
+        self.places.give_back(("edge", 2), 0.4, -1, 0.0, RunEnd.GOOD)
+        expected_s = self.places._places_by_server["i-1"].run_s(ask(3))
+        self.assertAlmostEqual(0.4, expected_s)
+
+
+class TestIdleTrust(unittest.TestCase):
+    def test_any_uptime_of_the_machine_will_do(self):
+        trust = IdleTrust()
+        for now in (0.0, LONG_UPTIME_S):
+            self.assertEqual(FRESH_S, trust.limit_s(True, now))
+            self.assertEqual(float("inf"), trust.limit_s(False, now))
+        trust.note_lost(0.4, 0.0, 0.0)
+        self.assertEqual(float("inf"), trust.limit_s(False, LONG_UPTIME_S))
+
+    def test_lost_connection_shortens_the_trusted_rest_for_a_while(self):
+        trust = IdleTrust()
+        self.assertTrue(trust.note_lost(0.4, 0.01, 100.0))
+        self.assertAlmostEqual(0.2, trust.limit_s(False, 100.0))
+        self.assertAlmostEqual(0.4, trust.limit_s(False, 100.0 + DOUBLED_EACH_S))
+        self.assertEqual(FRESH_S, trust.limit_s(True, 100.0 + 5 * DOUBLED_EACH_S))
+
+    def test_loss_in_the_middle_of_a_run_or_of_a_busy_connection_teaches_nothing(self):
+        trust = IdleTrust()
+        self.assertFalse(trust.note_lost(0.4, LOST_AT_ONCE_S + 0.1, 0.0))
+        self.assertFalse(trust.note_lost(LEAST_S / 2, 0.01, 0.0))
+        self.assertEqual(float("inf"), trust.limit_s(False, 0.0))
