Let urgent work that is late go before patient work, and keep the extra place for it

Change: ranks form groups by their aims; a rank whose aim is three times as long waits behind the more urgent ones also when those are late, and does not get the place over the slots.

--- a/papayalever/routing/places.py
+++ b/papayalever/routing/places.py
@@ -4,12 +4,14 @@
 waited in the servers' own queues; servers that are cold and crash under a surge. The owner of a
 server counts all places of all instances and keeps one line for it. Requests that can still make
 their aim go first, the urgent ones first among them; who can not be served in time is told at once.
+A flood of patient work (aims of seconds) fills the lines with requests that are all in time: urgent
+requests go before it even when they are late.
 
 Pure state: ``now`` is in seconds of the owner's monotonic clock.
 """
 
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from itertools import count
 
@@ -18,13 +20,17 @@
 from .servers import Server
 
 EXTRA_PLACES = 1
-"""Places over the slots: the next request is on its way while a slot gets free."""
+"""Places over the slots: the next request is on its way while a slot gets free. Patient work does
+not get them: an urgent request would wait behind it."""
 SPARE_SHARE = 0.5
 """Part of its slots below which a server takes objects that another one knows."""
 FIRST_RUN_S = 0.3
 """Guess of a run time before any answer: between a warm and a cold run of urgent work."""
 RUN_WEIGHT = 0.15
 """Weight of the newest run time in the mean; a mean over some seven runs."""
+PATIENT_AIM = 3.0
+"""Times the aims of more urgent ranks: work with such an aim waits behind those ranks also when
+they are late. Aims of today's urgent ranks differ by 1.5 at most, those of patient work by 5."""
 LATE_PATIENCE = 1.0
 """Of its aim's length: how long a request waits that can not make its aim any more."""
 REPORT_LIFE_S = 0.4
@@ -52,9 +58,10 @@
     is_taken: bool = False
     """The request is on its way, whatever the verdict."""
 
-    def order(self, start: float, run_s: float, number: int) -> tuple[bool, int, int]:
-        """Those that can make their aim first, then by urgency, then first come."""
-        return (start + run_s > self.aim_at, self.rank, number)
+    @property
+    def aim_s(self) -> float:
+        """Time that the request had for its aim when it asked."""
+        return self.aim_at - self.asked_at
 
 
 @dataclass(eq=False, slots=True)
@@ -74,6 +81,24 @@
     known_objects: OrderedDict[str, None] = field(default_factory=OrderedDict)
     """Objects that it handled lately, the last one at the end."""
     health: ServerHealth = field(default_factory=ServerHealth)
+    aim_s_by_rank: dict[int, float] = field(default_factory=dict)
+    """The longest aim that requests of each rank came with."""
+    _group_by_rank: dict[int, int] = field(default_factory=dict)
+
+    def note_aim(self, ask: Ask) -> None:
+        """Learn how patient the work of a rank is."""
+        if ask.aim_s > self.aim_s_by_rank.get(ask.rank, 0.0):
+            self.aim_s_by_rank[ask.rank] = ask.aim_s
+            self._group_by_rank = group_ranks(self.aim_s_by_rank)
+
+    def order(self, ask: Ask, start: float, number: int) -> tuple[int, bool, int, int]:
+        """Patient work last; in time before late, then by urgency, then first come."""
+        is_late = start + self.run_s(ask) > ask.aim_at
+        return (self._group_by_rank.get(ask.rank, 0), is_late, ask.rank, number)
+
+    def is_patient(self, ask: Ask) -> bool:
+        """Whether more urgent work with much shorter aims comes to the server too."""
+        return self._group_by_rank.get(ask.rank, 0) > 0
 
     def note_object(self, key: str) -> None:
         """Remember the object of a granted request."""
@@ -125,21 +150,22 @@
     def ask(self, server: Server, ask: Ask, now: float) -> Verdict:
         """Grant a place, queue the ask or refuse it at once."""
         places = self._find(server)
+        places.note_aim(ask)
         if ask.is_taken:
-            has_room = not places.waiting_by_id and self._has_room(places, now)
+            has_room = not places.waiting_by_id and self._has_room(places, ask, now)
             wait_s = self._expected_wait_s(places, ask, now)
             self._grant(places, ask, now)
             return Verdict(PlaceState.GRANTED if has_room else PlaceState.QUEUED, wait_s)
-        if places.health.is_failing and not self._has_room(places, now):
+        if places.health.is_failing and not self._has_room(places, ask, now):
             # Another server may serve it in time; a line here would wait for a trial to end.
             return Verdict(PlaceState.REFUSED, places.run_s(ask))
         if ask.is_substitute:
             is_known = ask.object_key in places.known_objects
             has_spare = is_known or places.taken(now) < server.entry.slots * SPARE_SHARE
-            if places.waiting_by_id or not has_spare or not self._has_room(places, now):
+            if places.waiting_by_id or not has_spare or not self._has_room(places, ask, now):
                 return Verdict(PlaceState.REFUSED, places.run_s(ask))
             return self._grant(places, ask, now)
-        if not places.waiting_by_id and self._has_room(places, now):
+        if self._is_first(places, ask, now) and self._has_room(places, ask, now):
             return self._grant(places, ask, now)
         wait_s = self._expected_wait_s(places, ask, now)
         if now + wait_s > self._leave_at(places, ask, now + wait_s):
@@ -187,10 +213,10 @@
         may_send = self.may_send(places.server)
         line = sorted(
             places.waiting_by_id.values(),
-            key=lambda item: item[1].order(now, places.run_s(item[1]), item[0]),
+            key=lambda item: places.order(item[1], now, item[0]),
         )
         for _, ask in line:
-            if may_send and self._has_room(places, now):
+            if may_send and self._has_room(places, ask, now):
                 del places.waiting_by_id[ask.id]
                 decided.append((ask.id, self._grant(places, ask, now)))
             elif (
@@ -210,9 +236,10 @@
             places.cold_grants.append(now)
         return Verdict(PlaceState.GRANTED)
 
-    def _has_room(self, places: ServerPlaces, now: float) -> bool:
+    def _has_room(self, places: ServerPlaces, ask: Ask, now: float) -> bool:
         server = places.server
-        most = places.health.limit_places(server.entry.slots + EXTRA_PLACES, now)
+        extra = 0 if places.is_patient(ask) else EXTRA_PLACES
+        most = places.health.limit_places(server.entry.slots + extra, now)
         if now < server.full_until or places.taken(now) >= most:
             return False
         if not server.is_cold(now):
@@ -220,14 +247,19 @@
         places.cold_grants = [at for at in places.cold_grants if at > now - 1.0]
         return len(places.cold_grants) < max(1, int(self.cold_per_s(server.entry.service)))
 
+    def _is_first(self, places: ServerPlaces, ask: Ask, now: float) -> bool:
+        """Whether nobody in line goes before the ask."""
+        own = places.order(ask, now, 0)
+        return all(places.order(other, now, 0) > own for _, other in places.waiting_by_id.values())
+
     def _expected_wait_s(self, places: ServerPlaces, ask: Ask, now: float) -> float:
         """Time until an ask gets a place, from the run times of those that go before it."""
         own_s = places.run_s(ask)
-        own = ask.order(now, own_s, 0)[:2]
+        own = places.order(ask, now, 0)
         ahead_s = sum(
-            run_s
+            places.run_s(other)
             for _, other in places.waiting_by_id.values()
-            if other.order(now, run_s := places.run_s(other), 0)[:2] <= own
+            if places.order(other, now, 0) <= own
         )
         slots = places.server.entry.slots
         over = max(0, places.taken(now) - slots - EXTRA_PLACES + 1)
@@ -253,3 +285,19 @@
             places = ServerPlaces(server)
             self._places_by_server[server.id] = places
         return places
+
+
+def group_ranks(aim_s_by_rank: Mapping[int, float]) -> dict[int, int]:
+    """Groups of ranks that wait for each other: 0 for the most urgent rank and those like it.
+
+    A rank whose aim is `PATIENT_AIM` times the longest of the group before it starts a new group.
+    """
+    group_by_rank: dict[int, int] = {}
+    group, longest_s = 0, 0.0
+    for rank in sorted(aim_s_by_rank):
+        aim_s = aim_s_by_rank[rank]
+        if longest_s and aim_s >= PATIENT_AIM * longest_s:
+            group, longest_s = group + 1, 0.0
+        longest_s = max(longest_s, aim_s)
+        group_by_rank[rank] = group
+    return group_by_rank
