Take a server to know an object for one route only, and bound idle connections by instances

Run times were expected by key alone, so that a cold run counted as one that makes its aim and went first.

Cause, idle connections: nothing held the connections that rest at many instances under what a server accepts. Now each instance keeps its part of half of them (at least one).

Tests, both failing before: test_entry.TestWholePath.test_what_a_server_knows_of_an_object_counts_for_its_route, test_faulty_servers.TestIdleConnections.test_idle_connections_keep_to_the_share_of_the_servers_connections.

--- a/papayalever/cluster/messages.py
+++ b/papayalever/cluster/messages.py
@@ -343,7 +343,7 @@
     lease_ms: int
     """Time after which the request is over in any case."""
     object_key: str
-    """The object of the request: a server that handled it lately is faster."""
+    """The request's route and object: a server that handled the two lately is faster."""
     is_substitute: bool
     """Whether the object has another server: then only spare room is given, or room where the
     object is known."""
--- a/papayalever/entry/desk.py
+++ b/papayalever/entry/desk.py
@@ -46,6 +46,7 @@
     over_at: float
     """When the request is over in any case."""
     object_key: str
+    """Route and object: what a server knows of an object helps the requests of one route."""
     is_substitute: bool
 
 
--- a/papayalever/entry/exchange.py
+++ b/papayalever/entry/exchange.py
@@ -171,7 +171,7 @@
             rank=self._route.rank,
             aim_at=self._request.arrived_at + self._route.aim_s,
             over_at=self._give_up_at,
-            object_key=self.object_key,
+            object_key=f"{self._route.name}/{self.object_key}",
             is_substitute=is_substitute,
         )
 
@@ -245,7 +245,7 @@
         kind = shared.dialect.read_answer(answer)
         if kind in (AnswerKind.NOT_RUN, AnswerKind.OTHER_SERVER):
             self.story.may_have_run = had_run
-        shared.pool.release(entry, connection)
+        shared.pool.release(entry, connection, shared.most_idle(entry.service))
         return answer
 
     def _belongs(self, answer: ServerAnswer) -> bool:
--- a/papayalever/entry/pool.py
+++ b/papayalever/entry/pool.py
@@ -11,6 +11,9 @@
 """Three round trips between regions; a retransmitted opening packet would come after 1 s."""
 IDLE_S = 8.0
 """Servers that do not say so close after 10 s."""
+IDLE_SHARE = 0.5
+"""Part of a server's connections that may rest at all instances together; the others are for
+requests, and servers take fewer while their queue is long."""
 IDLE_MARGIN_S = 1.0
 """Taken off the idle time that a server states: its close may be on its way."""
 
@@ -48,13 +51,16 @@
         trust = self._trust_by_service[server.service]
         return trust.note_lost(connection.rested_s, after_s, now)
 
-    def release(self, server: ServerEntry, connection: PeerConnection) -> None:
-        """Keep a connection for the next request."""
+    def release(self, server: ServerEntry, connection: PeerConnection, most_idle: int) -> None:
+        """Keep a connection for the next request, ``most_idle`` of a server at most."""
         if not connection.is_usable:
             connection.close()
             return
         connection.idle_since = asyncio.get_running_loop().time()
-        self._idle_by_id.setdefault(server.id, deque()).append(connection)
+        idle = self._idle_by_id.setdefault(server.id, deque())
+        idle.append(connection)
+        while len(idle) > most_idle:
+            idle.popleft().close()
 
     def sweep(self, known_ids: set[str]) -> None:
         """Close connections that idled too long or lead to servers that are gone."""
@@ -70,6 +76,11 @@
                 del self._idle_by_id[server_id]
 
 
+def share_idle(connections: int, instances: int) -> int:
+    """Idle connections to a server that each instance may keep."""
+    return max(1, int(connections * IDLE_SHARE / max(1, instances)))
+
+
 def _idle_limit(connection: PeerConnection) -> float:
     stated = connection.idle_limit_s
     return IDLE_S if stated is None else max(0.0, stated - IDLE_MARGIN_S)
--- a/papayalever/entry/shared.py
+++ b/papayalever/entry/shared.py
@@ -11,7 +11,7 @@
 from .crashes import Crashes
 from .messages import AnswerKind, RequestMeta, ServerAnswer
 from .metrics import EntryMetrics
-from .pool import Pool
+from .pool import Pool, share_idle
 from .settings import Bounds
 
 
@@ -55,6 +55,11 @@
         budget.instances = self.instances
         return budget
 
+    def most_idle(self, service: str) -> int:
+        """Idle connections to each server of a service that this instance may keep."""
+        rule = self.routes.config.service_by_name.get(service) if self.routes.config else None
+        return share_idle(rule.connections, self.instances) if rule else 1
+
 
 def digest_request(host: str, method: bytes, target: bytes, body: bytes) -> str:
     """Digest of what a server would run."""
--- a/papayalever/routing/places.py
+++ b/papayalever/routing/places.py
@@ -79,7 +79,7 @@
     others_at: float = float("-inf")
     cold_grants: list[float] = field(default_factory=list)
     known_objects: OrderedDict[str, None] = field(default_factory=OrderedDict)
-    """Objects that it handled lately, the last one at the end."""
+    """Routes and objects that it handled lately, the last one at the end."""
     health: ServerHealth = field(default_factory=ServerHealth)
     aim_s_by_rank: dict[int, float] = field(default_factory=dict)
     """The longest aim that requests of each rank came with."""
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -110,6 +110,22 @@
         self.assertEqual(503, (await caller.read()).status)
         caller.close()
 
+    async def test_what_a_server_knows_of_an_object_counts_for_its_route(self):
+        await self.platform.add_server()
+        instance = await self.platform.ready_instance()
+        acquire, keys = instance.desk.acquire, []
+
+        async def note(server, want, find_other):
+            keys.append(want.object_key)
+            return await acquire(server, want, find_other)
+
+        instance.desk.acquire = note
+        await self.platform.ask(instance, "/lookup/1", key="7")
+        await self.platform.ask(instance, "/signoff/1", method="POST", key="7")
+        await self.platform.ask(instance, "/lookup/2", key="7")
+        self.assertEqual(2, len(set(keys)))
+        self.assertEqual(keys[0], keys[2])
+
     async def test_metrics_are_served(self):
         await self.platform.add_server()
         instance = await self.platform.ready_instance()
--- a/tests/test_faulty_servers.py
+++ b/tests/test_faulty_servers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from .support.platform import FakeServer, Seen, sealed
+from .support.platform import FakeServer, Seen, configuration, sealed
 from .test_entry import PlatformCase
 
 REQUESTS = 40
@@ -124,3 +124,18 @@
             await self.platform.ask(instance, f"/signoff/{number}", method="POST")
             await asyncio.sleep(RESTED_S * 1.5)
         self.assertEqual(1, len(reset))
+
+    async def test_idle_connections_keep_to_the_share_of_the_servers_connections(self):
+        document = configuration(4)
+        for resource in document["resources"]:
+            if resource["entry_kind"] == "services":
+                resource["spec"]["max_connections"] = 4
+        self.platform.store.put("config", "main", document)
+        server = await self.platform.add_server(run_s=0.1)
+        instance = await self.platform.ready_instance()
+        await self.platform.wait(lambda: instance.shared.instances == 1, "it knows itself")
+        asks = (self.platform.ask(instance, f"/lookup/{number}") for number in range(4))
+        await asyncio.gather(*asks)
+        self.assertEqual(4, server.connections)
+        # Half of four connections are for all instances, and there is one.
+        await self.platform.wait(lambda: len(server._writers) == 2, "the others are closed", 3.0)
