Split a server's line from the places of an instance, and forwarding from the exchange

Pure moves: routing/lines.py (one server as its owner sees it) out of routing/places.py, and entry/forwarding.py (headers that pass and headers that do not) out of entry/exchange.py.

--- a/papayalever/entry/desk.py
+++ b/papayalever/entry/desk.py
@@ -11,8 +11,9 @@
 from ..cluster.links import LinkPool
 from ..cluster.messages import AskPlace, AwaitPlace, PlaceReply, PlaceState, ReturnPlace
 from ..routing.health import RunEnd
+from ..routing.lines import Ask, PlaceId
 from ..routing.owners import Owners
-from ..routing.places import Ask, PlaceId, Places, Verdict
+from ..routing.places import Places, Verdict
 from ..routing.relays import InstanceEntry
 from ..routing.servers import Server, ServerTable
 from .clock import now
--- a/papayalever/entry/exchange.py
+++ b/papayalever/entry/exchange.py
@@ -13,23 +13,11 @@
 from .clock import now
 from .connection import SendError, SendFailure, connect
 from .desk import Desk, Place, Want
+from .forwarding import encode_request, end_to_end
 from .messages import Answer, AnswerKind, CallerRequest, RequestMeta, ServerAnswer
 from .pool import CONNECT_S
 from .shared import Shared, digest_request
 
-HOP_HEADERS = frozenset(
-    (
-        b"connection",
-        b"keep-alive",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"content-length",
-        b"expect",
-    )
-)
 PROMISES = frozenset((408, 421, 429, 503))
 """Statuses that tell a caller that its request has not run."""
 DEFAULT_DEADLINE_S = 10.0
@@ -248,6 +236,11 @@
         shared.pool.release(entry, connection, shared.most_idle(entry.service))
         return answer
 
+    def _encode(self, server_id: str) -> bytes:
+        dialect = self._shared.dialect
+        own = dialect.forward_headers(server_id, self._give_up_at - now())
+        return encode_request(self._request, dialect.own_headers, own)
+
     def _belongs(self, answer: ServerAnswer) -> bool:
         self._shared.dialect.read_answer(answer)
         return answer.request_id is None or answer.request_id == self._meta.request_id
@@ -265,7 +258,7 @@
         if answer.status in PROMISES and kind == AnswerKind.SEALED:
             return "refusal that does not say that nothing ran"
         servers.note_success(server)
-        returned = Answer(answer.status, _returned(answer.headers), answer.body)
+        returned = Answer(answer.status, end_to_end(answer.headers), answer.body)
         if answer.status >= 500 and self._can_repeat():
             self._failure = returned
             return "server error"
@@ -329,17 +322,6 @@
         status = 504 if reason == "out of time" else 502
         return Answer(status, [(b"Content-Type", b"text/plain")], b"no answer\n", reason)
 
-    def _encode(self, server_id: str) -> bytes:
-        request, dialect = self._request, self._shared.dialect
-        dropped = HOP_HEADERS | dialect.own_headers | _named_by_connection(request.headers)
-        headers = [item for item in request.headers if item[0] not in dropped]
-        headers += dialect.forward_headers(server_id, self._give_up_at - now())
-        if request.body or request.method not in (b"GET", b"HEAD"):
-            headers.append((b"Content-Length", b"%d" % len(request.body)))
-        lines = [b"%s %s HTTP/1.1" % (request.method, request.target)]
-        lines += [name + b": " + value for name, value in headers]
-        return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
-
 
 def judge_answer(status: int, kind: AnswerKind) -> RunEnd:
     """What a whole answer tells of its server's health."""
@@ -353,17 +335,3 @@
     """A refusal of a request that has not run, and when to come back."""
     headers = [(b"Content-Type", b"text/plain"), shared.dialect.retry_after(return_s)]
     return Answer(503, headers, f"not run: {reason}\n".encode(), reason)
-
-
-def _returned(headers: list[tuple[bytes, bytes]]) -> list[tuple[bytes, bytes]]:
-    dropped = HOP_HEADERS | _named_by_connection(headers)
-    return [item for item in headers if item[0] not in dropped]
-
-
-def _named_by_connection(headers: list[tuple[bytes, bytes]]) -> frozenset[bytes]:
-    return frozenset(
-        token.strip().lower()
-        for name, value in headers
-        if name == b"connection"
-        for token in value.split(b",")
-    )
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -306,6 +306,35 @@
 
 REGIONS = {"noord-a": "noord", "noord-b": "noord", "midden-a": "midden"}
 
+LAG_STEP_S = 0.005
+"""How often the lag of the loop is looked at."""
+
+
+class LoopLag:
+    """Seconds that the event loop got no processor while this was open.
+
+    The stand-ins and the instances of a test share one loop: what a busy machine takes from it is
+    no wait that an instance decided on.
+    """
+
+    def __init__(self) -> None:
+        self.seconds = 0.0
+        self._task: asyncio.Task | None = None
+
+    async def __aenter__(self) -> "LoopLag":
+        self._task = asyncio.create_task(self._watch())
+        return self
+
+    async def __aexit__(self, *_) -> None:
+        self._task.cancel()
+
+    async def _watch(self) -> None:
+        while True:
+            began = time.monotonic()
+            await asyncio.sleep(LAG_STEP_S)
+            self.seconds += max(0.0, time.monotonic() - began - LAG_STEP_S)
+
+
 ROUTES = {
     "lookup": {"path_prefix": "/lookup/", "type": "safe", "priority": 0},
     "signoff": {"path_prefix": "/signoff/", "type": "unsafe", "priority": 1},
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -10,9 +10,10 @@
 from papayalever.cluster.messages import KindNews, PlaceState
 from papayalever.entry.copy import HISTORY, StoreCopy
 from papayalever.routing.budget import RepeatBudget
+from papayalever.routing.lines import Ask
 from papayalever.routing.owners import PASSED_OVER_S, Owners
 from papayalever.routing.placement import Claim, Placement, share_regions
-from papayalever.routing.places import Ask, Places
+from papayalever.routing.places import Places
 from papayalever.routing.relays import SUSPECT_S, InstanceEntry, Relays
 from papayalever.routing.routes import (
     CallerLimits,
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -9,7 +9,8 @@
 
 from papayalever.cluster.messages import PlaceState
 from papayalever.routing.health import RunEnd
-from papayalever.routing.places import Ask, Places, group_ranks
+from papayalever.routing.lines import Ask, group_ranks
+from papayalever.routing.places import Places
 from papayalever.routing.servers import Server
 
 from .test_decisions import server_entry
--- a/tests/test_server_health.py
+++ b/tests/test_server_health.py
@@ -12,7 +12,8 @@
     judge_silence,
 )
 from papayalever.routing.idle import DOUBLED_EACH_S, FRESH_S, LEAST_S, LOST_AT_ONCE_S, IdleTrust
-from papayalever.routing.places import Ask, Places
+from papayalever.routing.lines import Ask
+from papayalever.routing.places import Places
 from papayalever.routing.servers import Server
 
 from .test_decisions import server_entry
