Tell how old passed-on news are, so that no circle of instances goes without the store

The logs: after all instances were killed at 5.0 s, those of midden and zuid listed each other with the starts of the run before, found each other more senior, stopped reading and followed each other from 5.9 s until the next kill at 39.2 s; version 47 never came. Each said that it was current because the other had just said so.

Ruled out: the store (noord read it all the time), lost registrations (the entries were written; nobody in the two regions read them).

Change: an answer carries the age of the contact with the store that its news rest on and when its sender started. Contact over 2 s ago counts as none, so that somebody reads; a true start replaces the listed one at once. Found with it: owners log when a server begins to fail and when it recovers, and a request's line names the owners that gave no place with the wait they expected.

Test: test_instances_that_take_each_other_for_more_senior_still_hear_the_store failed before (3.5 s), passes now.

--- a/papayalever/cluster/messages.py
+++ b/papayalever/cluster/messages.py
@@ -319,6 +319,10 @@
     is_current: bool
     """Whether the sender itself hears the store or one that does."""
     news: list[KindNews]
+    age_ms: int = 0
+    """Time since the newest contact with the store that the sender's copy rests on."""
+    started_ms: int = 0
+    """Unix milliseconds of the sender's start; what the store lists may be of a run before."""
 
 
 class PlaceState(StrEnum):
--- a/papayalever/entry/desk.py
+++ b/papayalever/entry/desk.py
@@ -10,7 +10,7 @@
 from ..cluster.exceptions import PeerTimeoutError, PeerUnreachableError
 from ..cluster.links import LinkPool
 from ..cluster.messages import AskPlace, AwaitPlace, PlaceReply, PlaceState, ReturnPlace
-from ..routing.health import RunEnd
+from ..routing.health import RunEnd, ServerHealth
 from ..routing.lines import Ask, PlaceId
 from ..routing.owners import Owners
 from ..routing.places import Places, Verdict
@@ -309,6 +309,14 @@
             self._arm()
 
 
+def log_health(server: Server, health: ServerHealth) -> None:
+    """Tell that a server which this instance owns fails all it runs, or no longer does."""
+    if health.is_failing:
+        log.warning("server failing", id=server.id, failures=health.failures)
+    else:
+        log.info("server recovered", id=server.id)
+
+
 def _own_ask(instance: str, place: Place, want: Want, is_taken: bool) -> Ask:
     return Ask(
         (instance, place.number),
--- a/papayalever/entry/exchange.py
+++ b/papayalever/entry/exchange.py
@@ -8,6 +8,7 @@
 
 from ..routing.health import RunEnd, judge_silence
 from ..routing.placement import Claim, Placement
+from ..routing.places import Verdict
 from ..routing.routes import RouteRule
 from ..routing.servers import Server
 from .clock import now
@@ -47,6 +48,8 @@
     loads: list[int] = field(default_factory=list)
     """Requests at each server when it was chosen, as far as this instance knew."""
     failures: list[str] = field(default_factory=list)
+    refused_ms: dict[str, float] = field(default_factory=dict)
+    """Servers whose owners gave no place, and the wait in milliseconds that they expected."""
     may_have_run: bool = False
     waited_s: float = 0.0
 
@@ -94,6 +97,7 @@
             "servers": story.servers,
             "loads": story.loads,
             "failures": story.failures,
+            "refused_ms": story.refused_ms,
             "may_have_run": story.may_have_run,
         }
 
@@ -146,14 +150,19 @@
                 place = await self._desk.acquire(server, self._want(is_substitute=True))
                 if isinstance(place, Place):
                     return place
+                self._note_refusal(server, place)
             return None
 
         place = await self._desk.acquire(candidates[0], self._want(), find_other)
         if isinstance(place, Place):
             return place
+        self._note_refusal(candidates[0], place)
         self._return_s = max(RETURN_S, place.wait_s)
         return await find_other()
 
+    def _note_refusal(self, server: Server, verdict: Verdict) -> None:
+        self.story.refused_ms[server.id] = round(verdict.wait_s * 1000, 1)
+
     def _want(self, is_substitute: bool = False) -> Want:
         return Want(
             rank=self._route.rank,
--- a/papayalever/entry/follower.py
+++ b/papayalever/entry/follower.py
@@ -19,6 +19,9 @@
 ANSWER_S = 1.1
 """A relay that does not answer by then is left: with the next one's answer, changes are known
 everywhere within 2 s."""
+MAX_AGE_S = 2.0
+"""Contact with the store that is longer ago is none: three relays in a row that are asked each
+`WAIT_S`, and the shortest bound of the sites."""
 REVIEW_S = 0.5
 """How often an instance that reads the store looks for a more senior one."""
 OWN_READ_S = 2.0
@@ -44,6 +47,8 @@
         self.health = StoreHealth()
         self.heard_at = float("-inf")
         """When a current relay answered last."""
+        self._heard_age_s = 0.0
+        """Age that the relay's news had then."""
         self.following = ""
         self.is_leaving = False
         self._copy = copy
@@ -64,9 +69,7 @@
     @property
     def is_current(self) -> bool:
         """Whether the copy is fed by the store or by an instance that is."""
-        if self.is_reading:
-            return all(feed.is_connected for feed in self._feeds)
-        return now() - self.heard_at < ANSWER_S
+        return self._age_s() < MAX_AGE_S
 
     async def run(self) -> None:
         """Keep the copy current until cancelled."""
@@ -84,6 +87,12 @@
         finally:
             self._leave_store()
 
+    def _age_s(self) -> float:
+        """Time since the newest contact with the store that the copy rests on."""
+        if self.is_reading and all(feed.is_connected for feed in self._feeds):
+            return 0.0
+        return now() - self.heard_at + self._heard_age_s
+
     async def answer(self, message: Follow) -> FollowReply:
         """Tell another instance what is new, or that nothing is."""
         self.relays.trust(message.instance)
@@ -91,7 +100,10 @@
         if not news and self.is_current:
             await self._copy.wait_change(message.wait_ms / 1000)
             news = self._copy.since(message.revision_by_kind)
-        return FollowReply(self.is_current and not self.is_leaving, news)
+        age_s = self._age_s()
+        is_current = age_s < MAX_AGE_S and not self.is_leaving
+        age_ms = int(min(age_s, MAX_AGE_S) * 1000)
+        return FollowReply(is_current, news, age_ms, self.relays.own.started_ms)
 
     async def ask_seeds(self) -> None:
         """Take over what a running instance knows, for a start while the store is away."""
@@ -111,13 +123,15 @@
                 log.warning("relay lost", relay=relay.name)
                 continue
             self._apply(reply)
+            self.relays.note_start(relay.name, reply.started_ms)
             if reply.is_current:
-                self._note_followed(relay)
+                self._note_followed(relay, reply.age_ms / 1000)
                 return True
         return False
 
-    def _note_followed(self, relay: InstanceEntry) -> None:
+    def _note_followed(self, relay: InstanceEntry, age_s: float) -> None:
         self.heard_at = now()
+        self._heard_age_s = age_s
         if self.following != relay.name:
             self.following = relay.name
             log.info("relay followed", relay=relay.name)
--- a/papayalever/entry/instance.py
+++ b/papayalever/entry/instance.py
@@ -26,7 +26,7 @@
 from .clock import now
 from .copy import StoreCopy
 from .crashes import Crashes
-from .desk import Desk
+from .desk import Desk, log_health
 from .exchange import Exchange, refuse
 from .feed import HISTORY_SHARE, FeedError
 from .follower import Follower
@@ -106,7 +106,7 @@
             self._relays.own,
             owners,
             servers,
-            Places(self._cold_per_s, servers.may_send),
+            Places(self._cold_per_s, servers.may_send, log_health),
             self._links,
         )
         self._must_register = asyncio.Event()
--- a/papayalever/explain.py
+++ b/papayalever/explain.py
@@ -18,7 +18,17 @@
     "leaving": "own state",
 }
 """Events that change what an instance believes, by the belief."""
-SERVER_EVENTS = frozenset(("server", "server gone", "server crashed", "server entry refused"))
+SERVER_EVENTS = frozenset(
+    (
+        "server",
+        "server gone",
+        "server crashed",
+        "server entry refused",
+        "server failing",
+        "server recovered",
+        "rested connection lost",
+    )
+)
 SHOWN_SERVER_EVENTS = 5
 
 
@@ -86,6 +96,8 @@
         f"{record.get('service', '-')}, object {record.get('object') or '-'}, "
         f"configuration {record['config']}, waited {record.get('waited_ms', 0)} ms"
     )
+    for server, wait_ms in record.get("refused_ms", {}).items():
+        yield f"  no place at {server}: its owner expected a wait of {wait_ms:g} ms"
     failures = record.get("failures", [])
     for number, server in enumerate(record.get("servers", [])):
         load = (record.get("loads") or [])[number : number + 1]
--- a/papayalever/routing/places.py
+++ b/papayalever/routing/places.py
@@ -13,7 +13,7 @@
 from itertools import count
 
 from ..cluster.messages import PlaceState
-from .health import RunEnd
+from .health import RunEnd, ServerHealth
 from .lines import Ask, PlaceId, ServerPlaces
 from .servers import Server
 
@@ -44,6 +44,8 @@
     """Requests a second that a cold server of a service withstands."""
     may_send: Callable[[Server], bool]
     """Whether a server gets new requests at all."""
+    on_health: Callable[[Server, ServerHealth], None] = lambda server, health: None
+    """Called when a server begins to fail all that it runs, and when it recovers."""
     _places_by_server: dict[str, ServerPlaces] = field(default_factory=dict)
     _server_by_id: dict[PlaceId, str] = field(default_factory=dict)
     _numbers: count = field(default_factory=count)
@@ -85,7 +87,10 @@
         places.waiting_by_id.pop(place, None)
         if places.lease_by_id.pop(place, None) is None:
             return
+        was_failing = places.health.is_failing
         places.health.note(end, now)
+        if places.health.is_failing != was_failing:
+            self.on_health(places.server, places.health)
         key = places.run_key_by_id.pop(place, None)
         if ran_s > 0 and key and end != RunEnd.FAILED:
             places.note_run(key, ran_s)
--- a/papayalever/routing/relays.py
+++ b/papayalever/routing/relays.py
@@ -4,10 +4,13 @@
 follows that one, and the others follow theirs: calls to the store grow with the regions, and nobody
 is followed by more than a failure domain. Who does not answer is passed over, so that the next in
 seniority takes its part. Nothing is agreed on: two readers cost calls, and one comes before long.
+After many were killed at once the listed starts are of runs before, and some may follow each other
+in a circle: each answer tells when its sender started and how old its news are, and who hears
+nothing but old news reads the store.
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 SUSPECT_S = 4.0
 """How long an instance that did not answer is not asked again."""
@@ -46,6 +49,12 @@
         """An instance did not answer."""
         self._suspect_until[name] = now + SUSPECT_S
 
+    def note_start(self, name: str, started_ms: int) -> None:
+        """An instance said when it started: its entry may be of a run before."""
+        entry = self.entry_by_name.get(name)
+        if entry and started_ms:
+            self.entry_by_name[name] = replace(entry, started_ms=started_ms)
+
     def trust(self, name: str) -> None:
         """An instance answered."""
         self._suspect_until.pop(name, None)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 
 import logbook
 
@@ -24,6 +25,8 @@
 )
 
 AIM_S = 1.6
+KNOWN_S = 3.5
+"""The shortest contact time with the bound of configurations less the second that was waited."""
 
 
 class PlatformCase(unittest.IsolatedAsyncioTestCase):
@@ -583,6 +586,26 @@
             )
         self.assertEqual(before, [self.platform.store.callers[ip] for ip in followers])
 
+    async def test_instances_that_take_each_other_for_more_senior_still_hear_the_store(self):
+        first, second = await self.start(["noord-a", "noord-a"])
+        await self.platform.wait(
+            lambda: first.shared.instances == second.shared.instances == 2, "they know each other"
+        )
+        # After all were killed the store lists the starts before: each finds the other older.
+        for own, other in ((first, second), (second, first)):
+            entry = replace(other._relays.own, started_ms=1)
+            own._relays.replace_all([own._relays.own, entry])
+        await self.platform.wait(
+            lambda: not (first.follower.is_reading and second.follower.is_reading),
+            "one of them follows the other",
+        )
+        await asyncio.sleep(1.0)
+        self.platform.store.put("config", "main", configuration(8))
+        for item in (first, second):
+            await self.platform.wait(
+                lambda item=item: item.shared.routes.version == 8, "it is known", KNOWN_S
+            )
+
     async def test_relay_that_dies_is_replaced_within_the_bounds(self):
         await self.platform.add_server()
         instances = await self.start(["noord-a", "noord-a", "noord-a"])
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -12,9 +12,10 @@
 from papayalever.core import main
 from papayalever.entry.logs import LINES_PER_S, JsonLines
 from papayalever.explain import explain
+from papayalever.routing.health import FAILURES_TO_EJECT
 from papayalever.status import ExitStatus
 
-from .support.platform import Platform, Seen
+from .support.platform import Platform, Seen, sealed
 
 
 class TestExplain(unittest.IsolatedAsyncioTestCase):
@@ -54,6 +55,28 @@
         self.assertIn("configuration in force: version 3", text)
         self.assertIn("'other'", err.getvalue())
 
+    async def test_refusal_names_the_owners_that_gave_no_place_and_the_failing_server(self):
+        async def fail(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            writer.write(sealed(seen, b"", "500 Internal Server Error"))
+
+        with tempfile.TemporaryDirectory() as directory:
+            path = Path(directory) / "edge-noord-a-1.log"
+            descriptor = os.open(path, os.O_WRONLY | os.O_CREAT)
+            self.addCleanup(os.close, descriptor)
+            with JsonLines(descriptor).applicationbound():
+                async with Platform() as platform:
+                    server = await platform.add_server(behave=fail)
+                    instance = await platform.ready_instance()
+                    for number in range(FAILURES_TO_EJECT + 1):
+                        await platform.ask(instance, f"/signoff/{number}", id=f"f{number}")
+            with path.open() as lines:
+                text = "\n".join(explain(f"f{FAILURES_TO_EJECT}", [("edge", lines)]))
+            with path.open() as lines:
+                events = {json.loads(line)["event"] for line in lines}
+        self.assertIn("status 503", text)
+        self.assertIn(f"no place at {server.id}: its owner expected a wait of", text)
+        self.assertIn("server failing", events)
+
 
 class TestTell(unittest.TestCase):
     def test_send_without_an_answer_is_not_called_answered(self):
