--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -13,6 +13,8 @@
 from pathlib import Path
 from random import Random
 
+from papayalever.entry.instance import METRICS_PATH, METRICS_PORT
+
 from ..support.platform import (
     Caller,
     FakeServer,
@@ -31,6 +33,8 @@
 CALLERS = 12
 DRAIN_S = 2.5
 EVACUATION_S = 5.0
+CONFIG_S = 2.5
+VERSION_METRIC = "papayalever_config_version"
 CONTACT_S = 4.0
 """Bounds hold for instances that nothing happened to for so long."""
 LEAST_SERVED = 0.9
@@ -199,11 +203,13 @@
     async def disturb(self) -> None:
         faults: list[Callable[[], Awaitable[None]]] = [
             self.kill_program,
+            self.kill_all,
             self.pause_program,
             self.stop_program,
             self.lose_server,
             self.replace_server,
             self.fault_server,
+            self.corrupt_server,
             self.fault_store,
             self.change_configuration,
             self.empty_domain,
@@ -226,6 +232,14 @@
             program.process.kill()
             await self.restart(program)
 
+    async def kill_all(self) -> None:
+        running = [program for program in self.programs if program.is_running]
+        self.say(f"kill all {len(running)}")
+        for program in running:
+            program.disturbed_at = self.now() + 2.0
+            program.process.kill()
+        await asyncio.gather(*(self.restart(program) for program in running))
+
     async def stop_program(self) -> None:
         if program := self.pick_program():
             self.say(f"stop {program.name}")
@@ -287,6 +301,15 @@
             proxy = self.proxy_by_id[server.id]
             await self.fault_proxy(proxy, f"server {server.id}")
 
+    async def corrupt_server(self) -> None:
+        """The server accepts requests and fails or never answers them."""
+        if server := self.pick_server():
+            behave = self.rng.choice([fail, hang])
+            self.say(f"{server.id} will {behave.__name__}")
+            server.behave = behave
+            await asyncio.sleep(self.rng.uniform(1.0, 5.0))
+            server.behave = self.run_request
+
     async def fault_store(self) -> None:
         self.store_disturbed_at = self.now() + 6.0
         if self.rng.random() < 0.3:
@@ -342,10 +365,22 @@
         served = calm[200] / max(1, sum(calm.values()))
         if served < LEAST_SERVED:
             self.ledger.find(self.now(), f"{served:.2f} of the requests are served after all")
+        await self.check_configuration()
         self.is_over = True
         await asyncio.gather(*callers)
         return self.ledger.findings
 
+    async def check_configuration(self) -> None:
+        """With nothing disturbed, a change is in force everywhere within its bound."""
+        await self.change_configuration()
+        changed_at = self.now()
+        late = list(self.programs)
+        while late and self.now() < changed_at + CONFIG_S + SLACK_S:
+            await asyncio.sleep(0.1)
+            late = [item for item in late if await read_version(item) != self.version]
+        for program in late:
+            self.ledger.find(self.now(), f"{program.name} lacks configuration {self.version}")
+
     async def stop(self) -> None:
         for program in self.programs:
             if program.process:
@@ -359,6 +394,27 @@
         await self.store.stop()
 
 
+async def fail(seen: Seen, writer: asyncio.StreamWriter) -> None:
+    writer.write(sealed(seen, b"failed", "500 Internal Server Error"))
+
+
+async def hang(seen: Seen, writer: asyncio.StreamWriter) -> None:
+    await asyncio.sleep(10)
+
+
+async def read_version(program: Program) -> int:
+    """The configuration that a program says to have in force, 0 if it does not answer."""
+    try:
+        caller = await Caller.connect(f"{program.ip}:{METRICS_PORT}")
+        caller.send(METRICS_PATH, "metrics")
+        text = (await caller.read()).body.decode()
+        caller.close()
+    except OSError:
+        return 0
+    values = [line.split()[1] for line in text.splitlines() if line.startswith(VERSION_METRIC)]
+    return int(float(values[0])) if values else 0
+
+
 async def soak(seed: int, seconds: float) -> list[str]:
     """Run one seed and return what was found."""
     with tempfile.TemporaryDirectory() as directory:
