--- a/papayalever/entry/beliefs.py
+++ b/papayalever/entry/beliefs.py
@@ -52,7 +52,7 @@
         on_missing: Callable[[], None],
     ) -> None:
         self._on_missing = on_missing
-        """Called when the store does not list this instance."""
+        """Called when the store does not list this instance any more."""
         self._shared = shared
         self._reader = reader
         self._relays = relays
@@ -137,6 +137,7 @@
         self._desk.note_change()
 
     def _take_instances(self, news: KindNews) -> None:
+        was_listed = self._relays.own.name in self._relays.entry_by_name
         entry_by_name = {} if news.is_whole else dict(self._relays.entry_by_name)
         for name, value in news.changes:
             entry_by_name.pop(name, None)
@@ -150,7 +151,7 @@
         self._owners.set_instances(entry_by_name)
         self._shared.instances = max(1, len(entry_by_name))
         log.info("instances", count=len(entry_by_name), revision=news.revision)
-        if self._relays.own.name not in entry_by_name:
+        if was_listed and self._relays.own.name not in entry_by_name:
             self._on_missing()
 
     def _take_crashes(self, news: KindNews) -> None:
--- a/papayalever/entry/follower.py
+++ b/papayalever/entry/follower.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Mapping
+from contextlib import suppress
 from random import Random
 
 import logbook
@@ -24,6 +25,11 @@
 `WAIT_S`, and the shortest bound of the sites."""
 REVIEW_S = 0.5
 """How often an instance that reads the store looks for a more senior one."""
+SEED_S = 1.2
+"""How long a starting instance asks the seeds before it reads the store itself: all may start
+together, and seeds that start need some 0.5 s. The store's rate does not grow with the fleet."""
+SEED_PAUSE_S = 0.15
+"""Between questions to seeds that know nothing yet: a start from the store takes about as long."""
 OWN_READ_S = 2.0
 """How long an instance asks the store itself when no relay hears it, before it asks them again."""
 
@@ -59,6 +65,7 @@
             for kind, wait_s in wait_by_kind.items()
         ]
         self._tasks: list[asyncio.Task] = []
+        self._has_learned = asyncio.Event()
         self._own_until = float("-inf")
 
     @property
@@ -74,19 +81,38 @@
     async def run(self) -> None:
         """Keep the copy current until cancelled."""
         try:
-            if not self._copy.is_complete:
+            if not await self._wait_for_seeds():
                 self._read_store()
             while True:
                 is_reader = self.relays.is_reader(now())
                 self.health.is_sparing = not is_reader and self._copy.is_complete
                 if is_reader or now() < self._own_until:
                     self._read_store()
-                    await self._copy.wait_change(REVIEW_S)
+                    if not self._is_helped or not await self._ask_helpers():
+                        await self._copy.wait_change(REVIEW_S)
                 elif not await self._follow_one():
                     self._own_until = now() + OWN_READ_S
         finally:
             self._leave_store()
 
+    @property
+    def _is_helped(self) -> bool:
+        """Whether the store turns this reader away, so that it learns from its followers."""
+        return self.is_reading and self.health.failing_since is not None
+
+    async def _ask_helpers(self) -> bool:
+        """Ask those that would follow this instance; returns whether one is current."""
+        for helper in self.relays.helpers(now()):
+            reply = await self._ask(helper.peer_address)
+            if reply is None:
+                self.relays.suspect(helper.name, now())
+                continue
+            self._apply(reply)
+            if reply.is_current:
+                self._note_heard(helper, reply.age_ms / 1000)
+                return True
+        return False
+
     def _age_s(self) -> float:
         """Time since the newest contact with the store that the copy rests on."""
         if self.is_reading and all(feed.is_connected for feed in self._feeds):
@@ -101,18 +127,41 @@
             await self._copy.wait_change(message.wait_ms / 1000)
             news = self._copy.since(message.revision_by_kind)
         age_s = self._age_s()
-        is_current = age_s < MAX_AGE_S and not self.is_leaving
+        is_current = age_s < MAX_AGE_S and not self.is_leaving and not self._is_helped
         age_ms = int(min(age_s, MAX_AGE_S) * 1000)
         return FollowReply(is_current, news, age_ms, self.relays.own.started_ms)
 
     async def ask_seeds(self) -> None:
-        """Take over what a running instance knows, for a start while the store is away."""
-        for address in self._seeds:
-            if self._copy.is_complete:
-                return
-            reply = await self._ask(address)
-            if reply:
-                self._apply(reply)
+        """Take over what a running instance knows until all is known: the store may be away."""
+        others = [item for item in self._seeds if item != self.relays.own.peer_address]
+        while others and not self._copy.is_complete:
+            asks = [asyncio.ensure_future(self._ask(address)) for address in others]
+            try:
+                for ask in asyncio.as_completed(asks):
+                    self._learn(await ask)
+                    if self._has_learned.is_set():
+                        return
+            finally:
+                for ask in asks:
+                    ask.cancel()
+            await asyncio.sleep(SEED_PAUSE_S)
+
+    def _learn(self, reply: FollowReply | None) -> None:
+        if reply is None:
+            return
+        self._apply(reply)
+        if reply.is_current and self._copy.is_complete:
+            log.info("learned from a seed", age_ms=reply.age_ms)
+            self._has_learned.set()
+
+    async def _wait_for_seeds(self) -> bool:
+        """Whether a seed told all that is current. Seeds themselves do not wait for others."""
+        if not self._seeds or self.relays.own.peer_address in self._seeds:
+            return False
+        with suppress(TimeoutError):
+            async with asyncio.timeout(SEED_S):
+                await self._has_learned.wait()
+        return self._has_learned.is_set()
 
     async def _follow_one(self) -> bool:
         """Ask the best relay that answers; returns whether one is current."""
@@ -130,13 +179,16 @@
         return False
 
     def _note_followed(self, relay: InstanceEntry, age_s: float) -> None:
+        self._note_heard(relay, age_s)
+        if self._copy.is_complete:
+            self._leave_store()
+
+    def _note_heard(self, relay: InstanceEntry, age_s: float) -> None:
         self.heard_at = now()
         self._heard_age_s = age_s
         if self.following != relay.name:
             self.following = relay.name
             log.info("relay followed", relay=relay.name)
-        if self._copy.is_complete:
-            self._leave_store()
 
     async def _ask(self, address: str) -> FollowReply | None:
         question = Follow(self.relays.own.name, self._copy.revision_by_kind, int(WAIT_S * 1000))
--- a/papayalever/routing/relays.py
+++ b/papayalever/routing/relays.py
@@ -14,6 +14,8 @@
 
 SUSPECT_S = 4.0
 """How long an instance that did not answer is not asked again."""
+HELPERS = 2
+"""Juniors that are asked: the next in seniority reads the store once this instance does not."""
 GONE_AFTER_S = 600.0
 """Silence after which an instance counts as gone for good: regions lose each other for minutes."""
 
@@ -77,6 +79,15 @@
         regions = {entry.region for entry in self.entry_by_name.values()} - {self.own.region}
         return found + [live[0] for region in sorted(regions) if (live := self._live(region, now))]
 
+    def helpers(self, now: float) -> list[InstanceEntry]:
+        """Whom a reader asks that the store turns away: some juniors, then other regions."""
+        juniors = [
+            item for item in self._live(self.own.region, now) if _rank(item) > _rank(self.own)
+        ]
+        regions = {entry.region for entry in self.entry_by_name.values()} - {self.own.region}
+        far = [live[0] for region in sorted(regions) if (live := self._live(region, now))]
+        return juniors[:HELPERS] + far
+
     def _region_seniors(self, now: float) -> list[InstanceEntry]:
         live = self._live(self.own.region, now)
         return [entry for entry in live if _rank(entry) < _rank(self.own)]
