--- a/papayalever/entry/follower.py
+++ b/papayalever/entry/follower.py
@@ -88,7 +88,7 @@
                 self.health.is_sparing = not is_reader and self._copy.is_complete
                 if is_reader or now() < self._own_until:
                     self._read_store()
-                    if not self._is_helped or not await self._ask_helpers():
+                    if not self._is_turned_away or not await self._ask_helpers():
                         await self._copy.wait_change(REVIEW_S)
                 elif not await self._follow_one():
                     self._own_until = now() + OWN_READ_S
@@ -96,7 +96,7 @@
             self._leave_store()
 
     @property
-    def _is_helped(self) -> bool:
+    def _is_turned_away(self) -> bool:
         """Whether the store turns this reader away, so that it learns from its followers."""
         return self.is_reading and self.health.failing_since is not None
 
@@ -127,7 +127,7 @@
             await self._copy.wait_change(message.wait_ms / 1000)
             news = self._copy.since(message.revision_by_kind)
         age_s = self._age_s()
-        is_current = age_s < MAX_AGE_S and not self.is_leaving and not self._is_helped
+        is_current = age_s < MAX_AGE_S and not self.is_leaving and not self._is_turned_away
         age_ms = int(min(age_s, MAX_AGE_S) * 1000)
         return FollowReply(is_current, news, age_ms, self.relays.own.started_ms)
 
