Follow a seed until listed, and let a new reader show at once that it reaches the store

Change: an instance that a seed filled follows that seed until its list contains this run of the instance; the first watch of a reader waits 0.05 s; followers look for a current upstream for 0.4 s before they read the store themselves.

--- a/papayalever/entry/follower.py
+++ b/papayalever/entry/follower.py
@@ -35,6 +35,14 @@
 about as long."""
 DIRECT_READ_S = 2.0
 """How long an instance reads the store itself once it finds no current upstream."""
+UPSTREAM_GRACE_S = 0.4
+"""How long an instance looks for a current upstream before it reads the store itself: a new reader
+needs two round trips between regions and the wait of its first watch."""
+UPSTREAM_RETRY_S = 0.1
+"""Pause between the polls of that time."""
+SEED_FOLLOW_S = 3.0
+"""Longest time for which a starting instance follows a seed. Its entry is replicated within 1 s
+unless the store fails."""
 
 log = logbook.Logger("follower")
 
@@ -69,7 +77,10 @@
         ]
         self._tasks: list[asyncio.Task] = []
         self._is_seeded = asyncio.Event()
+        self._seed_address = ""
+        """Address of the seed that filled the cache."""
         self._read_until = float("-inf")
+        self._without_upstream_since: float | None = None
 
     @property
     def is_reading(self) -> bool:
@@ -84,7 +95,9 @@
     async def run(self) -> None:
         """Keep the cache current until cancelled."""
         try:
-            if not await self._wait_for_seeds():
+            if await self._wait_for_seeds():
+                await self._follow_seed()
+            else:
                 self._start_reading()
             while True:
                 is_reader = self.tree.is_reader(now())
@@ -93,11 +106,48 @@
                     self._start_reading()
                     if not self._is_store_failing or not await self._poll_fallback_sources():
                         await self._cache.wait_change(READER_CHECK_INTERVAL_S)
-                elif not await self._poll_upstreams():
-                    self._read_until = now() + DIRECT_READ_S
+                elif await self._poll_upstreams():
+                    self._without_upstream_since = None
+                else:
+                    await self._note_no_upstream(now())
         finally:
             self._stop_reading()
 
+    async def _follow_seed(self) -> None:
+        """Follow the seed that filled the cache until its list contains this run of the instance.
+
+        Load pattern: all instances start at once, and the list of instances is still incomplete.
+        Each instance would take itself for the oldest one of its region and read the store.
+        """
+        end_at = now() + SEED_FOLLOW_S
+        while not self._is_listed and now() < end_at:
+            reply = await self._poll(self._seed_address)
+            if reply is None:
+                return
+            self._apply(reply)
+            if not reply.is_current:
+                return
+            self._note_current(reply.age_ms / 1000)
+
+    @property
+    def _is_listed(self) -> bool:
+        entry = self.tree.entry_by_name.get(self.tree.own.name)
+        return entry is not None and entry.started_ms == self.tree.own.started_ms
+
+    async def _note_no_upstream(self, at: float) -> None:
+        """Wait for an upstream to become current, or decide to read the store after a while.
+
+        Load pattern: the reader of a region was replaced. Its followers would all read the store
+        before the first call of the new reader returned.
+        """
+        if self._without_upstream_since is None:
+            self._without_upstream_since = at
+        if at - self._without_upstream_since < UPSTREAM_GRACE_S:
+            await asyncio.sleep(UPSTREAM_RETRY_S)
+            return
+        self._without_upstream_since = None
+        self._read_until = at + DIRECT_READ_S
+
     @property
     def _is_store_failing(self) -> bool:
         """Whether this instance reads the store, but its calls fail."""
@@ -138,10 +188,11 @@
         """Fill the cache from running instances: the store may be unreachable during the start."""
         addresses = [item for item in self._seeds if item != self.tree.own.peer_address]
         while addresses and not self._cache.is_complete:
-            polls = [asyncio.ensure_future(self._poll(address)) for address in addresses]
+            polls = [asyncio.ensure_future(self._poll_seed(address)) for address in addresses]
             try:
                 for poll in asyncio.as_completed(polls):
-                    self._apply_seed_reply(await poll)
+                    address, reply = await poll
+                    self._apply_seed_reply(address, reply)
                     if self._is_seeded.is_set():
                         return
             finally:
@@ -149,12 +200,17 @@
                     poll.cancel()
             await asyncio.sleep(SEED_PAUSE_S)
 
-    def _apply_seed_reply(self, reply: FollowReply | None) -> None:
+    async def _poll_seed(self, address: str) -> tuple[str, FollowReply | None]:
+        return address, await self._poll(address)
+
+    def _apply_seed_reply(self, address: str, reply: FollowReply | None) -> None:
         if reply is None:
             return
         self._apply(reply)
         if reply.is_current and self._cache.is_complete:
-            log.info("state loaded from seed", age_ms=reply.age_ms)
+            log.info("state loaded from seed", seed=address, age_ms=reply.age_ms)
+            self._seed_address = address
+            self._note_current(reply.age_ms / 1000)
             self._is_seeded.set()
 
     async def _wait_for_seeds(self) -> bool:
@@ -187,12 +243,15 @@
             self._stop_reading()
 
     def _note_contact(self, source: InstanceEntry, age_s: float) -> None:
-        self.last_contact_at = now()
-        self._age_at_contact_s = age_s
+        self._note_current(age_s)
         if self.upstream_name != source.name:
             self.upstream_name = source.name
             log.info("following relay", relay=source.name)
 
+    def _note_current(self, age_s: float) -> None:
+        self.last_contact_at = now()
+        self._age_at_contact_s = age_s
+
     async def _poll(self, address: str) -> FollowReply | None:
         request = Follow(self.tree.own.name, self._cache.revision_by_kind, int(LONG_POLL_S * 1000))
         try:
--- a/papayalever/entry/watcher.py
+++ b/papayalever/entry/watcher.py
@@ -26,6 +26,9 @@
 LOW_PRIORITY_PAUSE_S = 1.5
 """Pause after failures of an instance that calls the store only because none of its upstreams
 reaches it: all instances of a region may do so at once."""
+FIRST_WAIT_S = 0.05
+"""Wait of the first watch of a reader that has the objects from another instance: its followers
+need to know soon that it reaches the store."""
 MIN_OUTAGE_S = 1.0
 """A list after failures for longer than this counts as a list after an outage."""
 
@@ -133,7 +136,8 @@
             if is_snapshot:
                 result = await self._store.list_all(self.kind)
             else:
-                result = await self._store.watch(self.kind, known_revision, self._wait_s)
+                wait_s = self._wait_s if self.is_connected else min(self._wait_s, FIRST_WAIT_S)
+                result = await self._store.watch(self.kind, known_revision, wait_s)
         except HistoryExpiredError:
             log.info("store history expired", kind=self.kind, revision=known_revision)
             self._is_history_expired = True
