--- a/papayalever/cluster/codec.py
+++ b/papayalever/cluster/codec.py
@@ -1,5 +1,6 @@
 """CBOR encoding of messages: a tag identifies the class, and fields are encoded by position."""
 
+import zlib
 from dataclasses import fields
 from operator import attrgetter
 from typing import Any
@@ -10,6 +11,12 @@
 from .exceptions import CodecError
 
 FIRST_TAG = 40_000
+COMPRESSION_LEVEL = 1
+"""Fastest level: entries of one kind differ little, and many followers wait for the result."""
+MAX_UNPACKED_BYTES = 64 * 1024 * 1024
+"""Limit on a decompressed snapshot, so that a malformed one does not exhaust the memory."""
+
+Changes = list[tuple[str, bytes | None]]
 MESSAGE_TYPES = (
     messages.Member,
     messages.ObjectUpdate,
@@ -42,6 +49,7 @@
     messages.AwaitPermit,
     messages.PermitReply,
     messages.ReleasePermit,
+    messages.PackedSnapshot,
 )
 """The position of a class determines its tag."""
 TYPE_BY_TAG = {FIRST_TAG + index: cls for index, cls in enumerate(MESSAGE_TYPES)}
@@ -71,6 +79,23 @@
     return call_id, message
 
 
+def pack_changes(changes: Changes) -> bytes:
+    """Encode and compress the names and values of a snapshot."""
+    return zlib.compress(cbor2.dumps(changes), COMPRESSION_LEVEL)
+
+
+def unpack_changes(packed: bytes) -> Changes:
+    """Decompress and decode the names and values of a snapshot; raises `CodecError`."""
+    decompressor = zlib.decompressobj()
+    try:
+        data = decompressor.decompress(packed, MAX_UNPACKED_BYTES)
+        if not decompressor.eof:
+            raise CodecError("A packed snapshot is truncated or too large.")
+        return [(str(name), value) for name, value in cbor2.loads(data)]
+    except (zlib.error, cbor2.CBORDecodeError, TypeError, ValueError) as error:
+        raise CodecError("A packed snapshot cannot be decoded.") from error
+
+
 def _encode_message(encoder: cbor2.CBOREncoder, message: Any) -> None:
     cls = type(message)
     get_fields = FIELD_GETTER_BY_TYPE.get(cls)
--- a/papayalever/cluster/messages.py
+++ b/papayalever/cluster/messages.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+ACCEPTS_PACKED = "#packed"
+
 
 class MemberState(StrEnum):
     """Lifecycle state of an instance."""
@@ -313,12 +315,24 @@
     """Whether the store was unavailable before, so that missing objects may reappear."""
 
 
+@dataclass(frozen=True, slots=True)
+class PackedSnapshot:
+    """All stored objects of one kind, compressed; only sent to instances that accept it."""
+
+    kind: str
+    revision: int
+    packed: bytes
+    """The compressed changes of a snapshot, as `cluster.codec.pack_changes` encodes them."""
+
+
 @dataclass(frozen=True, slots=True)
 class Follow:
     """Long poll of another instance for store changes; also shows that ``instance`` is alive."""
 
     instance: str
     revision_by_kind: dict[str, int]
+    """Revisions of the sender; the key `ACCEPTS_PACKED` shows that it accepts `PackedSnapshot`, as
+    earlier versions reject messages with more fields."""
     wait_ms: int
     """Time that the receiver may wait for changes before it replies."""
 
@@ -329,7 +343,7 @@
 
     is_current: bool
     """Whether the data is recent: its sender reads the store or follows an instance that does."""
-    updates: list[KindUpdate]
+    updates: list[KindUpdate | PackedSnapshot]
     age_ms: int = 0
     """Time since the last contact with the store that the replying instance's data reflects."""
     started_ms: int = 0
--- a/papayalever/entry/exchange.py
+++ b/papayalever/entry/exchange.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import time
 from dataclasses import dataclass, field
 
 import logbook
@@ -182,7 +183,7 @@
         at = now()
         usable = (
             server
-            for server in self._placement.order(claim)
+            for server in self._placement.order(claim, time.time())
             if server.id not in self._excluded_ids and server.is_available(at)
         )
         return list(itertools.islice(usable, 1 + MAX_FALLBACKS))
@@ -217,6 +218,8 @@
             end = SendOutcome.FAILED
             if error.failure == SendFailure.LOST:
                 await self._note_crash(server)
+            elif error.failure == SendFailure.GARBLED:
+                log.warning("response not accepted", server=server.id, error=error.detail)
             return self._note_failed(server, error)
         except asyncio.CancelledError:
             end = classify_unanswered(now() - started, self._route.target_latency_s)
--- a/papayalever/entry/follower.py
+++ b/papayalever/entry/follower.py
@@ -7,9 +7,16 @@
 
 import logbook
 
-from ..cluster.exceptions import PeerUnreachableError
+from ..cluster.codec import unpack_changes
+from ..cluster.exceptions import CodecError, PeerUnreachableError
 from ..cluster.links import LinkPool
-from ..cluster.messages import Follow, FollowReply
+from ..cluster.messages import (
+    ACCEPTS_PACKED,
+    Follow,
+    FollowReply,
+    KindUpdate,
+    PackedSnapshot,
+)
 from ..routing.replication_tree import InstanceEntry, ReplicationTree
 from .clock import now
 from .store_cache import StoreCache
@@ -253,7 +260,8 @@
         self._age_at_contact_s = age_s
 
     async def _poll(self, address: str) -> FollowReply | None:
-        request = Follow(self.tree.own.name, self._cache.revision_by_kind, int(LONG_POLL_S * 1000))
+        revisions = self._cache.revision_by_kind | {ACCEPTS_PACKED: 1}
+        request = Follow(self.tree.own.name, revisions, int(LONG_POLL_S * 1000))
         try:
             reply = await self._pool.request(address, request, REPLY_TIMEOUT_S)
         except PeerUnreachableError:
@@ -262,6 +270,15 @@
 
     def _apply(self, reply: FollowReply) -> None:
         for update in reply.updates:
+            if not self._cache.is_newer(update.kind, update.revision):
+                continue
+            if isinstance(update, PackedSnapshot):
+                try:
+                    changes = unpack_changes(update.packed)
+                except CodecError as error:
+                    log.warning("snapshot rejected", kind=update.kind, error=str(error))
+                    continue
+                update = KindUpdate(update.kind, update.revision, True, changes)
             self._cache.apply(update)
 
     def _start_reading(self) -> None:
--- a/papayalever/entry/store_cache.py
+++ b/papayalever/entry/store_cache.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from ..cluster.messages import KindUpdate
+from ..cluster.codec import pack_changes
+from ..cluster.messages import ACCEPTS_PACKED, KindUpdate, PackedSnapshot
 
 MAX_HISTORY = 200
 """Updates of a kind that are kept for followers. A follower that is further behind gets all objects
@@ -24,6 +25,19 @@
     history: deque[KindUpdate] = field(default_factory=lambda: deque(maxlen=MAX_HISTORY))
     base_revision: int = -1
     """Revision that the oldest update of ``history`` builds on."""
+    packed: PackedSnapshot | None = None
+    """The latest packed snapshot, which all followers that start at the same time get."""
+
+    def pack(self) -> PackedSnapshot:
+        """All objects, compressed.
+
+        Load pattern: all instances restart at once and ask the same few for the whole state, whose
+        links carry it once for each of them.
+        """
+        if self.packed is None or self.packed.revision != self.revision:
+            packed = pack_changes(list(self.value_by_name.items()))
+            self.packed = PackedSnapshot(self.kind, self.revision, packed)
+        return self.packed
 
 
 class StoreCache:
@@ -49,6 +63,11 @@
         revision = self._cache_by_kind[kind].revision
         return revision if revision >= 0 else None
 
+    def is_newer(self, kind: str, revision: int) -> bool:
+        """Whether an update to a revision changes the cache."""
+        cache = self._cache_by_kind.get(kind)
+        return cache is not None and revision > cache.revision
+
     def apply(self, update: KindUpdate) -> bool:
         """Apply an update unless it is older than the cache; returns whether it was applied."""
         cache = self._cache_by_kind.get(update.kind)
@@ -76,13 +95,17 @@
         self._changed = asyncio.Event()
         return True
 
-    def updates_since(self, revision_by_kind: dict[str, int]) -> list[KindUpdate]:
+    def updates_since(self, revision_by_kind: dict[str, int]) -> list[KindUpdate | PackedSnapshot]:
         """Updates for a follower that has the given revisions."""
-        updates = []
+        updates: list[KindUpdate | PackedSnapshot] = []
+        accepts_packed = ACCEPTS_PACKED in revision_by_kind
         for kind, cache in self._cache_by_kind.items():
             known_revision = revision_by_kind.get(kind, -1)
             if cache.revision < 0 or known_revision >= cache.revision:
                 continue
+            if known_revision < cache.base_revision and accepts_packed:
+                updates.append(cache.pack())
+                continue
             if known_revision < cache.base_revision:
                 changes = list(cache.value_by_name.items())
                 updates.append(KindUpdate(kind, cache.revision, True, changes))
--- a/papayalever/routing/placement.py
+++ b/papayalever/routing/placement.py
@@ -15,6 +15,12 @@
 
 MAX_CACHED_ORDERS = 5_000
 """Bounds memory use; an order takes about 400 bytes."""
+JOIN_S = 60.0
+"""Time after its start in which a server reaches its full share of the objects."""
+JOIN_STEP_S = 5.0
+"""Interval at which the shares of joining servers change, by the time of day."""
+FIRST_JOIN_SHARE = 0.25
+"""Share of its slots for which a server that has just started gets objects."""
 QUEUED_PER_SLOT = 2.0
 """Requests per slot that may wait at a warm server before the next server is faster: a cold run
 takes 3.3 times as long as a warm one, so that waiting for two warm runs still ends earlier."""
@@ -39,17 +45,31 @@
     """Relative demand of the callers of each region."""
     _order_by_key: dict[tuple, list[Server]] = field(default_factory=dict)
     _generation: int = -1
+    _joined_at: float = float("-inf")
+    """When the last server has joined, as a Unix time."""
+    _step: int = 0
 
-    def order(self, placement_key: PlacementKey) -> list[Server]:
-        """Servers in the preference order of an object."""
-        if self._generation != self.table.generation or len(self._order_by_key) > MAX_CACHED_ORDERS:
-            self._order_by_key.clear()
-            self._generation = self.table.generation
+    def order(self, placement_key: PlacementKey, unix_time: float) -> list[Server]:
+        """Servers in the preference order of an object at a time of day."""
+        self._drop_outdated(unix_time)
         key = (placement_key.service, placement_key.object_key, placement_key.regions)
         if key not in self._order_by_key:
             self._order_by_key[key] = self._compute_order(placement_key)
         return self._order_by_key[key]
 
+    def _drop_outdated(self, unix_time: float) -> None:
+        """Drop the cached orders after a change of the servers or of the shares of joining ones."""
+        is_changed = self._generation != self.table.generation
+        step = int(unix_time // JOIN_STEP_S)
+        is_joining = step != self._step and min(step, self._step) * JOIN_STEP_S < self._joined_at
+        if is_changed or is_joining or len(self._order_by_key) > MAX_CACHED_ORDERS:
+            self._order_by_key.clear()
+        if is_changed:
+            started = (server.entry.started_ms or 0 for server in self.table.server_by_id.values())
+            self._joined_at = max(started, default=0) / 1000 + JOIN_S + JOIN_STEP_S
+            self._generation = self.table.generation
+        self._step = step
+
     def _compute_order(self, placement_key: PlacementKey) -> list[Server]:
         servers = [
             server
@@ -58,19 +78,38 @@
             and (not placement_key.regions or server.entry.region in placement_key.regions)
         ]
         share_by_region = compute_region_shares(servers, self.demand_by_region, self.region)
-        slots_by_region: dict[str, int] = {}
+        at = self._step * JOIN_STEP_S
+        slots_by_id = {
+            server.id: server.entry.slots * compute_join_share(server.entry.started_ms, at)
+            for server in servers
+        }
+        slots_by_region: dict[str, float] = {}
         for server in servers:
             region = server.entry.region
-            slots_by_region[region] = slots_by_region.get(region, 0) + server.entry.slots
+            slots_by_region[region] = slots_by_region.get(region, 0.0) + slots_by_id[server.id]
 
         def score(server: Server) -> float:
             region = server.entry.region
-            weight = share_by_region[region] * server.entry.slots / slots_by_region[region]
+            weight = share_by_region[region] * slots_by_id[server.id] / slots_by_region[region]
             return rendezvous_score(placement_key.object_key, server.id, weight)
 
         return sorted(servers, key=score)
 
 
+def compute_join_share(started_ms: int | None, unix_time: float) -> float:
+    """Share of its slots for which a server gets objects, by its age.
+
+    Load pattern: many servers join at once, or come back empty after a crash. With their full share
+    each of them would take objects that other servers have cached and serve in a quarter of the
+    time, all in the same second.
+    """
+    if started_ms is None:
+        return 1.0
+    age_s = unix_time - started_ms / 1000
+    grown = FIRST_JOIN_SHARE + (1.0 - FIRST_JOIN_SHARE) * age_s / JOIN_S
+    return min(1.0, max(FIRST_JOIN_SHARE, grown))
+
+
 def rendezvous_score(key: str, server_id: str, weight: float) -> float:
     """Score of a server for a key. The lowest score wins, with odds proportional to ``weight``."""
     position = (hash_text(f"{key}/{server_id}") + 0.5) / HASH_RANGE
--- a/papayalever/routing/servers.py
+++ b/papayalever/routing/servers.py
@@ -112,10 +112,15 @@
             if server_id not in entry_by_id:
                 self.remove(server_id, is_after_outage, now)
         for entry in entry_by_id.values():
-            self.put(entry, now)
+            self._put(entry, now)
+        self._regroup()
 
     def put(self, entry: ServerEntry, now: float) -> None:
         """Add or update an entry; a server restarted under the same id loses its known state."""
+        self._put(entry, now)
+        self._regroup()
+
+    def _put(self, entry: ServerEntry, now: float) -> None:
         server = self.server_by_id.get(entry.id)
         if server is None or is_restart(server.entry, entry):
             server = Server(entry)
@@ -124,7 +129,6 @@
         server.grace_until = None
         if entry.cold_left_s > 0:
             server.cold_until = max(server.cold_until, now + entry.cold_left_s)
-        self._regroup()
 
     def remove(self, server_id: str, is_after_outage: bool, now: float) -> None:
         """Remove a server; after an outage of the store, keep it for a grace period."""
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -4,14 +4,23 @@
 import heapq
 import itertools
 import unittest
+import zlib
 from collections import Counter
 from random import Random
 
-from papayalever.cluster.messages import KindUpdate, PermitState
+from papayalever.cluster.codec import MAX_UNPACKED_BYTES, pack_changes, unpack_changes
+from papayalever.cluster.exceptions import CodecError
+from papayalever.cluster.messages import ACCEPTS_PACKED, KindUpdate, PermitState
 from papayalever.entry.store_cache import MAX_HISTORY, StoreCache
 from papayalever.routing.owners import FIRST_SUSPECT_S, Owners
 from papayalever.routing.permits import PermitScheduler
-from papayalever.routing.placement import Placement, PlacementKey, compute_region_shares
+from papayalever.routing.placement import (
+    JOIN_S,
+    JOIN_STEP_S,
+    Placement,
+    PlacementKey,
+    compute_region_shares,
+)
 from papayalever.routing.replication_tree import SUSPECT_S, InstanceEntry, ReplicationTree
 from papayalever.routing.retry_budget import WindowedRetryBudget
 from papayalever.routing.routes import (
@@ -26,6 +35,7 @@
 from papayalever.routing.servers import OUTAGE_GRACE_S, Phase, Server, ServerEntry, ServerTable
 
 SEED = 11
+UNIX_TIME = 1_800_000_000.0
 REGION_OF = {"noord-a": "noord", "noord-b": "noord", "midden-a": "midden", "zuid-a": "zuid"}
 COLD_RUN_S = 0.64
 WARM_RUN_S = 0.19
@@ -109,20 +119,69 @@
         )
         for number in range(50):
             claim = PlacementKey("logboek", f"o{number}", frozenset())
-            ids = [server.id for server in first.order(claim)]
-            self.assertEqual(ids, [server.id for server in second.order(claim)])
+            ids = [server.id for server in first.order(claim, UNIX_TIME)]
+            self.assertEqual(ids, [server.id for server in second.order(claim, UNIX_TIME)])
 
     def test_server_that_leaves_moves_only_its_own_objects(self):
         table = table_of({"noord-a": 10})
         placement = Placement(table, "noord", {"noord": 1})
         claims = [PlacementKey("logboek", f"o{number}", frozenset()) for number in range(300)]
-        before = {claim: placement.order(claim)[0].id for claim in claims}
+        before = {claim: placement.order(claim, UNIX_TIME)[0].id for claim in claims}
         table.remove("i-3", False, 0.0)
-        after = {claim: placement.order(claim)[0].id for claim in claims}
+        after = {claim: placement.order(claim, UNIX_TIME)[0].id for claim in claims}
         moved = [claim for claim in claims if before[claim] != after[claim]]
         self.assertTrue(moved)
         self.assertEqual({"i-3"}, {before[claim] for claim in moved})
 
+    def test_servers_that_join_take_few_objects_at_first_and_their_share_in_the_end(self):
+        # A quarter more servers at once: every object that moves costs a run without the object.
+        table = table_of({"noord-a": 40})
+        placement = Placement(table, "noord", {"noord": 1})
+        claims = [PlacementKey("logboek", f"o{number}", frozenset()) for number in range(2000)]
+        before = {claim: placement.order(claim, UNIX_TIME)[0].id for claim in claims}
+        joined = {f"i-{number}" for number in range(41, 51)}
+        for number in range(41, 51):
+            table.put(server_entry(number, started_ms=int(UNIX_TIME * 1000)), 0.0)
+
+        def share_moved(age_s: float) -> float:
+            first = {claim: placement.order(claim, UNIX_TIME + age_s)[0].id for claim in claims}
+            moved = [claim for claim in claims if first[claim] != before[claim]]
+            self.assertLessEqual({first[claim] for claim in moved}, joined)
+            return len(moved) / len(claims)
+
+        fair = 10 / 50
+        self.assertLess(share_moved(1.0), 0.45 * fair)
+        self.assertGreater(share_moved(1.0), 0.0)
+        self.assertAlmostEqual(fair, share_moved(JOIN_S + JOIN_STEP_S), 1)
+        shares = [share_moved(age_s) for age_s in range(0, 66, 5)]
+        self.assertEqual(sorted(shares), shares)
+
+    def test_servers_that_all_start_together_share_the_objects_at_once(self):
+        placement = Placement(table_of({"noord-a": 4}), "noord", {"noord": 1})
+        for server in placement.table.server_by_id.values():
+            placement.table.put(
+                server_entry(int(server.id[2:]), started_ms=int(UNIX_TIME * 1000)), 0.0
+            )
+        claims = [PlacementKey("logboek", f"o{number}", frozenset()) for number in range(400)]
+        counts = Counter(placement.order(claim, UNIX_TIME)[0].id for claim in claims)
+        self.assertGreater(min(counts.values()), 60)
+
+    def test_shares_of_regions_do_not_depend_on_the_age_of_their_servers(self):
+        young = {"started_ms": int(UNIX_TIME * 1000)}
+        table = table_of({"noord-a": 10, "midden-a": 2, "zuid-a": 8})
+        placement = Placement(table, "midden", {"noord": 2, "midden": 2, "zuid": 2})
+        claims = [PlacementKey("logboek", f"o{number}", frozenset()) for number in range(3000)]
+
+        def regions() -> Counter:
+            return Counter(placement.order(claim, UNIX_TIME)[0].entry.region for claim in claims)
+
+        before = regions()
+        for number in range(11, 13):
+            table.put(server_entry(number, "midden-a", **young), 0.0)
+        after = regions()
+        for region in before:
+            self.assertAlmostEqual(before[region] / 3000, after[region] / 3000, 1)
+
     def test_region_with_few_servers_sends_the_rest_where_there_is_room(self):
         servers = table_of({"noord-a": 10, "midden-a": 2, "zuid-a": 8}).servers("logboek")
         demand = {"noord": 2, "midden": 2, "zuid": 2}
@@ -136,7 +195,7 @@
         table = table_of({"noord-a": 2, "noord-b": 2, "midden-a": 2})
         placement = Placement(table, "noord", {"noord": 2, "midden": 1})
         table.set_evacuated({"noord-a"}, 3.0, 0.0)
-        order = placement.order(PlacementKey("logboek", "o", frozenset({"noord"})))
+        order = placement.order(PlacementKey("logboek", "o", frozenset({"noord"})), UNIX_TIME)
         self.assertEqual({"noord-b"}, {server.entry.failure_domain for server in order})
 
 
@@ -514,6 +573,34 @@
         self.assertEqual((False, [("a", None)]), (later.is_snapshot, later.changes))
         self.assertEqual([], self.copy.updates_since({"servers": 8}))
 
+    def test_follower_that_accepts_it_gets_the_whole_packed_once_for_all(self):
+        # All instances restart at once and ask the same few for 480 servers of about 250 bytes.
+        changes = [
+            (f"i-{number:010x}", b'{"service":"logboek","address":"10.7.64.%d:8169","zone":'
+             b'"noord-a","version":"v1","max_concurrency":3,"phase":"ready","warmup_left_ms":0,'
+             b'"sequence":%d,"born":1700000000000}' % (number, number * 7))
+            for number in range(480)
+        ]  # fmt: skip
+        self.copy.apply(KindUpdate("servers", 5, True, changes))
+        (packed,) = self.copy.updates_since({"servers": -1, ACCEPTS_PACKED: 1})
+        self.assertIs(packed, self.copy.updates_since({ACCEPTS_PACKED: 1})[0])
+        self.assertEqual(changes, unpack_changes(packed.packed))
+        plain = sum(len(name) + len(value) for name, value in changes)
+        self.assertLess(len(packed.packed), plain / 4)
+        self.copy.apply(KindUpdate("servers", 6, False, [("i-0000000001", None)]))
+        (newer,) = self.copy.updates_since({ACCEPTS_PACKED: 1})
+        self.assertEqual((6, 479), (newer.revision, len(unpack_changes(newer.packed))))
+        # A follower that is little behind gets the changes only.
+        (later,) = self.copy.updates_since({"servers": 5, ACCEPTS_PACKED: 1})
+        self.assertEqual([("i-0000000001", None)], later.changes)
+
+    def test_packed_bytes_that_are_no_snapshot_are_rejected(self):
+        whole = pack_changes([("a", b"1"), ("b", None)])
+        endless = zlib.compress(bytes(MAX_UNPACKED_BYTES + 1))
+        for packed in (b"", b"no snapshot", whole[:-3], endless, zlib.compress(b"\xff")):
+            with self.assertRaises(CodecError):
+                unpack_changes(packed)
+
     def test_history_is_bounded_and_who_is_behind_gets_the_whole(self):
         self.copy.apply(KindUpdate("servers", 1, True, []))
         for revision in range(2, MAX_HISTORY + 50):
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -68,7 +68,9 @@
 class TestSilentOwner(unittest.IsolatedAsyncioTestCase):
     async def test_wait_for_an_owner_that_went_silent_ends_soon(self):
         broker, table = build_broker("asker", SilentPool())
-        server = Placement(table, "noord", {}).order(PlacementKey("logboek", "o1", frozenset()))[0]
+        server = Placement(table, "noord", {}).order(
+            PlacementKey("logboek", "o1", frozenset()), 0.0
+        )[0]
         began = now()
         await broker.acquire(server, permit_spec())
         self.assertLess(now() - began, LONG_POLL_S + REPLY_TIMEOUT_S + SLACK_S)
