Let instances decide alone while an owner has no state yet

Change: an owner that knows no server at all answers without a decision, and the asking instance sends if the server has room by its own view. An owner that knows other servers still refuses.

Measured: the new test failed before.

--- a/papayalever/entry/permit_broker.py
+++ b/papayalever/entry/permit_broker.py
@@ -221,14 +221,19 @@
             # The next instance in order becomes the owner; this request continues without a queue.
             self._owners.mark_suspect(owner.name, now())
             log.warning("owner unreachable", owner=owner.name, server=server.id, error=str(error))
-            has_room = server.load(now()) < server.entry.slots and not server.is_cold(now())
-            permit.owner = None
-            return PermitDecision(PermitState.GRANTED if has_room else PermitState.REFUSED)
+            return self._decide_alone(permit)
         self._owners.clear_suspect(owner.name)
         if reply is None:
-            return PermitDecision(PermitState.REFUSED)
+            return self._decide_alone(permit)
         return PermitDecision(PermitState(reply.state), reply.wait_ms / 1000)
 
+    def _decide_alone(self, permit: Permit) -> PermitDecision:
+        """Grant or refuse a permit by what this instance knows of the server."""
+        permit.owner = None
+        server = permit.server
+        has_room = server.load(now()) < server.entry.slots and not server.is_cold(now())
+        return PermitDecision(PermitState.GRANTED if has_room else PermitState.REFUSED)
+
     def _spawn(self, work: Coroutine) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
@@ -243,8 +248,14 @@
 
     # Granting permits.
 
-    def handle_acquire(self, message: AcquirePermit) -> PermitReply:
-        """Grant, queue or refuse a permit at once."""
+    def handle_acquire(self, message: AcquirePermit) -> PermitReply | None:
+        """Grant, queue or refuse a permit at once; None if this instance knows no server yet.
+
+        Load pattern: all instances restart at once, and some send requests before the owners of
+        the servers have their state. The instances then decide alone instead of refusing.
+        """
+        if not self._servers.server_by_id:
+            return None
         server = self._servers.server_by_id.get(message.server)
         if server is None:
             return PermitReply(PermitState.REFUSED, 0)
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -12,9 +12,16 @@
     ReleasePermit,
 )
 from papayalever.entry.clock import now
-from papayalever.entry.permit_broker import LONG_POLL_S, REPLY_TIMEOUT_S, PermitBroker, PermitSpec
+from papayalever.entry.permit_broker import (
+    LONG_POLL_S,
+    REPLY_TIMEOUT_S,
+    Permit,
+    PermitBroker,
+    PermitSpec,
+)
+from papayalever.routing.health import SendOutcome
 from papayalever.routing.owners import Owners
-from papayalever.routing.permits import PermitScheduler
+from papayalever.routing.permits import PermitDecision, PermitScheduler
 from papayalever.routing.placement import Placement, PlacementKey
 from papayalever.routing.replication_tree import ReplicationTree
 from papayalever.routing.servers import ServerTable
@@ -76,6 +83,41 @@
         self.assertLess(now() - began, LONG_POLL_S + REPLY_TIMEOUT_S + SLACK_S)
 
 
+class PoolToOwner:
+    """Links to an owner that runs in the same process."""
+
+    def __init__(self, owner: PermitBroker) -> None:
+        self.owner = owner
+
+    async def request(self, address: str, message: object, timeout_s: float) -> PermitReply:
+        return self.owner.handle_acquire(message)
+
+    async def notify(self, address: str, message: ReleasePermit, timeout_s: float) -> None:
+        self.owner.handle_release(message)
+
+
+class TestOwnerWithoutState(unittest.IsolatedAsyncioTestCase):
+    async def test_instances_send_on_their_own_until_the_owner_knows_its_servers(self):
+        # All instances were killed at once: the owner is up again and has loaded nothing yet.
+        owner, owner_table = build_broker("owner", SilentPool())
+        owner_table.replace_all([], False, now())
+        broker, table = build_broker("asker", PoolToOwner(owner))
+        server = table.server_by_id["i-1"]
+        permits = [await broker.acquire(server, permit_spec()) for _ in range(4)]
+        self.assertEqual([True, True, True, False], [isinstance(item, Permit) for item in permits])
+        owner_table.put(server_entry(1), now())
+        for permit in permits[:3]:
+            broker.note_end(permit, 0.1, -1, SendOutcome.GOOD)
+        self.assertIsInstance(await broker.acquire(server, permit_spec()), Permit)
+
+    async def test_server_that_the_owner_no_longer_knows_is_refused(self):
+        owner, owner_table = build_broker("owner", SilentPool())
+        owner_table.replace_all([server_entry(2)], False, now())
+        broker, table = build_broker("asker", PoolToOwner(owner))
+        refusal = await broker.acquire(table.server_by_id["i-1"], permit_spec())
+        self.assertIsInstance(refusal, PermitDecision)
+
+
 class TestWaiting(unittest.IsolatedAsyncioTestCase):
     async def test_verdict_between_two_questions_is_kept_for_the_next(self):
         broker, _ = build_broker("owner", SilentPool())
