Learn from run times how many objects a server has cached

Cause: a server was taken to keep 24 objects ('today's servers cache 28 or more'); those of the deployments keep 8 to 50, so that runs were expected to be four times too short or too long and fallback servers took objects that they had dropped.

Change: routing/object_cache.py moves the assumed number towards the position of an object whose run time contradicts it, once runs with and without an object differ by half.

--- a/papayalever/routing/permits.py
+++ b/papayalever/routing/permits.py
@@ -66,7 +66,7 @@
             # Another server may respond in time; here the request would wait for a probe to end.
             return PermitDecision(PermitState.REFUSED, queue.expected_run_s(request))
         if request.is_fallback:
-            is_cached = request.object_key in queue.cached_objects
+            is_cached = queue.objects.has(request.object_key)
             may_serve = is_cached or queue.in_use(now) < server.entry.slots * MAX_FALLBACK_LOAD
             if queue.waiting_by_id or not may_serve or not self._has_room(queue, request, now):
                 return PermitDecision(PermitState.REFUSED, queue.expected_run_s(request))
@@ -102,9 +102,9 @@
         queue.health.note(outcome, now)
         if queue.health.is_failing != was_failing:
             self.on_health(queue.server, queue.health)
-        key = queue.run_time_key_by_id.pop(permit, None)
+        key, use = queue.forget_permit(permit)
         if ran_s > 0 and key and outcome != SendOutcome.FAILED:
-            queue.note_run(key, ran_s)
+            queue.note_run(key, use, ran_s)
         if running >= 0:
             queue.untracked_requests = max(0, running - len(queue.lease_end_by_id) - 1)
             queue.untracked_requests_at = now
@@ -153,8 +153,7 @@
     def _grant(self, queue: ServerQueue, request: PermitRequest, now: float) -> PermitDecision:
         queue.lease_end_by_id[request.id] = request.lease_ends_at + LEASE_MARGIN_S
         self._server_by_permit[request.id] = queue.server.id
-        queue.run_time_key_by_id[request.id] = queue.run_time_key(request)
-        queue.note_object(request.object_key)
+        queue.note_grant(request)
         if queue.server.is_cold(now):
             queue.cold_granted_at.append(now)
         return PermitDecision(PermitState.GRANTED)
@@ -201,7 +200,7 @@
         for permit, lease_ends_at in list(queue.lease_end_by_id.items()):
             if now > lease_ends_at:
                 del queue.lease_end_by_id[permit]
-                queue.run_time_key_by_id.pop(permit, None)
+                queue.forget_permit(permit)
                 self._server_by_permit.pop(permit, None)
 
     def _find(self, server: Server) -> ServerQueue:
--- a/papayalever/routing/server_queue.py
+++ b/papayalever/routing/server_queue.py
@@ -4,11 +4,11 @@
 in time. More urgent requests are therefore served before them even when they are late themselves.
 """
 
-from collections import OrderedDict
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from .health import ServerHealth
+from .object_cache import ObjectCache, ObjectUse
 from .servers import Server
 
 INITIAL_RUN_S = 0.3
@@ -21,8 +21,6 @@
 factor of at most 1.5, those of delay-tolerant ranks by a factor of 5."""
 REPORT_TTL_S = 0.4
 """How long a load reported by the server is used."""
-MAX_CACHED_OBJECTS = 24
-"""Objects that a server is assumed to have cached; today's servers cache 28 or more."""
 
 PermitId = tuple[str, int]
 """Instance that requested the permit and its number there."""
@@ -60,6 +58,7 @@
     server: Server
     lease_end_by_id: dict[PermitId, float] = field(default_factory=dict)
     run_time_key_by_id: dict[PermitId, RunTimeKey] = field(default_factory=dict)
+    object_use_by_id: dict[PermitId, ObjectUse] = field(default_factory=dict)
     waiting_by_id: dict[PermitId, tuple[int, PermitRequest]] = field(default_factory=dict)
     """Queued requests with their sequence numbers."""
     mean_run_s_by_key: dict[RunTimeKey, float] = field(default_factory=dict)
@@ -68,8 +67,8 @@
     untracked_requests_at: float = float("-inf")
     cold_granted_at: list[float] = field(default_factory=list)
     """Times of the permits granted while the server was cold."""
-    cached_objects: OrderedDict[str, None] = field(default_factory=OrderedDict)
-    """Keys of the routes and objects handled lately, the most recent last."""
+    objects: ObjectCache = field(default_factory=ObjectCache)
+    """Routes and objects that the server handled lately."""
     health: ServerHealth = field(default_factory=ServerHealth)
     target_s_by_rank: dict[int, float] = field(default_factory=dict)
     """Longest latency target seen for each rank."""
@@ -92,16 +91,18 @@
         """Whether the server also gets more urgent requests with much shorter targets."""
         return self._group_by_rank.get(request.rank, 0) > 0
 
-    def note_object(self, key: str) -> None:
-        """Add the object of a granted request to the cached objects."""
-        self.cached_objects[key] = None
-        self.cached_objects.move_to_end(key)
-        if len(self.cached_objects) > MAX_CACHED_OBJECTS:
-            self.cached_objects.popitem(last=False)
+    def note_grant(self, request: PermitRequest) -> None:
+        """Record what is expected of a granted request."""
+        self.run_time_key_by_id[request.id] = self.run_time_key(request)
+        self.object_use_by_id[request.id] = self.objects.note_use(request.object_key)
+
+    def forget_permit(self, permit: PermitId) -> tuple[RunTimeKey | None, ObjectUse | None]:
+        """Return and drop what was recorded at the grant of a permit."""
+        return self.run_time_key_by_id.pop(permit, None), self.object_use_by_id.pop(permit, None)
 
     def run_time_key(self, request: PermitRequest) -> RunTimeKey:
         """Key under which the run times of similar requests are averaged."""
-        return (request.rank, request.object_key in self.cached_objects)
+        return (request.rank, self.objects.has(request.object_key))
 
     def expected_run_s(self, request: PermitRequest) -> float:
         """Expected run time of a request."""
@@ -109,8 +110,10 @@
         mean_run_s = self.mean_run_s_by_key.get((rank, is_cached))
         return mean_run_s or self.mean_run_s_by_key.get((rank, not is_cached)) or INITIAL_RUN_S
 
-    def note_run(self, key: RunTimeKey, ran_s: float) -> None:
-        """Add a run time to the moving average."""
+    def note_run(self, key: RunTimeKey, use: ObjectUse | None, ran_s: float) -> None:
+        """Add a run time to the moving average, and learn from it what the server has cached."""
+        if use:
+            self.objects.note_run(use, key[0], ran_s)
         mean_s = self.mean_run_s_by_key.get(key, ran_s)
         self.mean_run_s_by_key[key] = mean_s + RUN_TIME_WEIGHT * (ran_s - mean_s)
 
