Accept no response without an id on a reused connection

Cause: a response without the id of a request counted as the one awaited. A late copy of an earlier answer that lacks it would have reached the next caller on a connection in use again.

Change: such a response is skipped on a reused connection, which is then used no more; on a new connection no earlier answer can arrive.

Measured: the new test failed before ('copy of q0' reached q1).

--- a/papayalever/entry/exchange.py
+++ b/papayalever/entry/exchange.py
@@ -236,9 +236,14 @@
         self.trace.may_have_run = True
         self._send_count += 1
         started = now()
+        is_reused = connection.used > 0
+
+        def matches(response: ServerResponse) -> bool:
+            return self._is_own_response(response, is_reused)
+
         try:
             response = await connection.send(
-                self._encode(entry.id), self._is_own_response, self._request.method == b"HEAD"
+                self._encode(entry.id), matches, self._request.method == b"HEAD"
             )
         except SendError as error:
             if error.failure == SendFailure.NOT_CONNECTED:
@@ -260,9 +265,16 @@
         added = adapter.forward_headers(server_id, self._deadline - now())
         return encode_request(self._request, adapter.reserved_headers, added)
 
-    def _is_own_response(self, response: ServerResponse) -> bool:
+    def _is_own_response(self, response: ServerResponse, is_reused: bool) -> bool:
+        """Whether a response belongs to this request.
+
+        One without an id may be a late copy of the response to an earlier request on a reused
+        connection.
+        """
         self._shared.adapter.read_response(response)
-        return response.request_id is None or response.request_id == self._meta.request_id
+        if response.request_id is None:
+            return not is_reused
+        return response.request_id == self._meta.request_id
 
     def _check_response(
         self, server: Server, response: ServerResponse, kind: ResponseKind
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -251,6 +251,27 @@
             self.assertEqual((200, f"q{number}".encode()), (reply.status, reply.body))
             await asyncio.sleep(0.01)
 
+    async def test_late_copy_without_an_id_on_a_reused_connection_is_passed_over(self):
+        earlier_by_writer: dict[asyncio.StreamWriter, str] = {}
+
+        async def copy_first(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            if writer in earlier_by_writer:
+                copy = sealed(seen, b"copy of " + earlier_by_writer[writer].encode())
+                writer.write(copy.replace(f"Attempt-Id: {seen.id}\r\n".encode(), b""))
+                await asyncio.sleep(0.02)
+            earlier_by_writer[writer] = seen.id
+            writer.write(sealed(seen, seen.id.encode()))
+
+        server = await self.platform.add_server(behave=copy_first)
+        instance = await self.platform.ready_instance()
+        for number in range(4):
+            reply = await self.platform.ask(
+                instance, "/signoff/1", id=f"q{number}", method="POST", body=b"x"
+            )
+            self.assertEqual((200, f"q{number}".encode()), (reply.status, reply.body))
+        # The connection that carried the copy is used no more.
+        self.assertLess(server.connections, 4)
+
     async def test_answer_of_an_earlier_request_is_passed_over(self):
         async def foreign_first(seen: Seen, writer: asyncio.StreamWriter) -> None:
             other = Seen("other", "GET", "/", {}, b"")
