Survive malformed messages and unexpected errors, and hold back the state of stale seeds

Change: links log the reason and end the connection; background tasks and watchers start again after a pause and say why; an update that cannot be applied costs itself only; the state of a seed that is not current is held back for 2 s, in which a starting instance reads the store if it can.

Chunked answers that break off and answers without a length that are reset were no success before either; both have tests now.

--- a/papayalever/cluster/codec.py
+++ b/papayalever/cluster/codec.py
@@ -72,7 +72,7 @@
     """Decode one frame into (call id, message); raises `CodecError`."""
     try:
         call_id, message = cbor2.loads(frame, tag_hook=_decode_message)
-    except (cbor2.CBORDecodeError, TypeError, ValueError) as error:
+    except (cbor2.CBORError, TypeError, ValueError, RecursionError, StopIteration) as error:
         raise CodecError(f"A frame of {len(frame)} bytes cannot be decoded.") from error
     if not isinstance(call_id, int):
         raise CodecError("A frame has no call id.")
--- a/papayalever/cluster/links.py
+++ b/papayalever/cluster/links.py
@@ -7,6 +7,7 @@
 from contextlib import suppress
 from typing import Any
 
+import logbook
 from websockets.asyncio.client import ClientConnection, connect
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import ConnectionClosed, InvalidHandshake
@@ -20,6 +21,8 @@
 MAX_FRAME_BYTES = 32 * 1024 * 1024
 IDLE_LINK_S = 60.0
 
+log = logbook.Logger("links")
+
 Handler = Callable[[Any], Any | Awaitable[Any]]
 
 
@@ -88,15 +91,21 @@
             raise PeerUnreachableError(f"The connection to {self.address} was lost.") from error
 
     async def _read_replies(self) -> None:
-        with suppress(ConnectionClosed, CodecError):
+        try:
             async for frame in self._socket:
                 self.received_bytes += len(frame)
                 call_id, message = decode(frame)
                 reply = self._reply_by_call.get(call_id)
                 if reply and not reply.done():
                     reply.set_result(message)
-        self.is_closed = True
-        self._fail_pending()
+        except ConnectionClosed:
+            return
+        except CodecError as error:
+            log.warning("reply not decoded, connection closed", peer=self.address, error=str(error))
+            self._socket.transport.abort()
+        finally:
+            self.is_closed = True
+            self._fail_pending()
 
     def _fail_pending(self) -> None:
         for reply in self._reply_by_call.values():
@@ -228,9 +237,14 @@
     async def _serve_peer(self, socket: ServerConnection) -> None:
         self._sockets.add(socket)
         try:
-            with suppress(ConnectionClosed, CodecError):
-                async for frame in socket:
-                    await self._handle_frame(socket, frame)
+            async for frame in socket:
+                await self._handle_frame(socket, frame)
+        except ConnectionClosed:
+            return
+        except Exception as error:
+            # A malformed message must end only the connection that carried it.
+            log.warning("message not handled, connection closed", error=repr(error))
+            socket.transport.abort()
         finally:
             self._sockets.discard(socket)
 
@@ -252,7 +266,12 @@
     async def _reply_when_done(
         self, socket: ServerConnection, call_id: int, result: Awaitable
     ) -> None:
-        reply = await result
+        try:
+            reply = await result
+        except Exception as error:
+            log.warning("message not handled, connection closed", error=repr(error))
+            socket.transport.abort()
+            return
         if call_id:
             with suppress(ConnectionClosed):
                 await self._send(socket, call_id, reply)
--- a/papayalever/entry/follower.py
+++ b/papayalever/entry/follower.py
@@ -20,6 +20,7 @@
 from ..routing.replication_tree import InstanceEntry, ReplicationTree
 from .clock import now
 from .store_cache import StoreCache
+from .supervision import supervise
 from .watcher import KindWatcher, StoreHealth, StoreReader
 
 LONG_POLL_S = 0.6
@@ -47,6 +48,9 @@
 needs two round trips between regions and the wait of its first watch."""
 UPSTREAM_RETRY_S = 0.1
 """Pause between the polls of that time."""
+STALE_SEED_S = 2.0
+"""How long the state of a seed that is not current is held back. A starting instance that reaches
+the store has read it by then, and without it a server that left would be used again."""
 SEED_FOLLOW_S = 3.0
 """Longest time for which a starting instance follows a seed. Its entry is replicated within 1 s
 unless the store fails."""
@@ -194,12 +198,14 @@
     async def poll_seeds(self) -> None:
         """Fill the cache from running instances: the store may be unreachable during the start."""
         addresses = [item for item in self._seeds if item != self.tree.own.peer_address]
+        stale_from = now() + STALE_SEED_S
         while addresses and not self._cache.is_complete:
             polls = [asyncio.ensure_future(self._poll_seed(address)) for address in addresses]
             try:
                 for poll in asyncio.as_completed(polls):
                     address, reply = await poll
-                    self._apply_seed_reply(address, reply)
+                    if reply and (reply.is_current or now() >= stale_from):
+                        self._apply_seed_reply(address, reply)
                     if self._is_seeded.is_set():
                         return
             finally:
@@ -210,9 +216,7 @@
     async def _poll_seed(self, address: str) -> tuple[str, FollowReply | None]:
         return address, await self._poll(address)
 
-    def _apply_seed_reply(self, address: str, reply: FollowReply | None) -> None:
-        if reply is None:
-            return
+    def _apply_seed_reply(self, address: str, reply: FollowReply) -> None:
         self._apply(reply)
         if reply.is_current and self._cache.is_complete:
             log.info("state loaded from seed", seed=address, age_ms=reply.age_ms)
@@ -288,7 +292,10 @@
             )
             self.upstream_name = ""
             loop = asyncio.get_running_loop()
-            self._tasks = [loop.create_task(watcher.run()) for watcher in self._watchers]
+            self._tasks = [
+                loop.create_task(supervise(f"watch {watcher.kind}", watcher.run))
+                for watcher in self._watchers
+            ]
 
     def _stop_reading(self) -> None:
         for task in self._tasks:
--- a/papayalever/entry/instance.py
+++ b/papayalever/entry/instance.py
@@ -37,6 +37,7 @@
 from .state_updates import INSTANCE_KIND, StateUpdater, StoreAdapter
 from .store_cache import StoreCache
 from .store_protocol import InstanceStore
+from .supervision import supervise
 from .watcher import WATCH_HISTORY_SHARE, StoreAccessError
 
 BACKLOG = 512
@@ -173,14 +174,14 @@
         """Serve until a stop is requested, then finish the accepted requests."""
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.request_stop)
-        work = (
-            self.follower.run(),
-            self.follower.poll_seeds(),
-            self._register(),
-            self._sweep(),
-            self._housekeeping.run(),
-        )
-        tasks = [loop.create_task(item) for item in work]
+        work_by_name = {
+            "follower": self.follower.run,
+            "seeds": self.follower.poll_seeds,
+            "registration": self._register,
+            "sweep": self._sweep,
+            "housekeeping": self._housekeeping.run,
+        }
+        tasks = [loop.create_task(supervise(name, work)) for name, work in work_by_name.items()]
         settings = self.settings
         await self._peers.start()
         caller_server = await self._listen(
--- a/papayalever/entry/store_cache.py
+++ b/papayalever/entry/store_cache.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+import logbook
+
 from ..cluster.codec import pack_changes
 from ..cluster.messages import ACCEPTS_PACKED, KindUpdate, PackedSnapshot
 
@@ -12,6 +14,8 @@
 """Updates of a kind that are kept for followers. A follower that is further behind gets all objects
 of the kind."""
 
+log = logbook.Logger("beliefs")
+
 OnUpdate = Callable[[KindUpdate], None]
 
 
@@ -90,7 +94,11 @@
             else:
                 cache.value_by_name[name] = value
         cache.revision = update.revision
-        self._on_update(update)
+        try:
+            self._on_update(update)
+        except Exception as error:
+            # The other kinds and later updates still hold.
+            log.error("update not applied", kind=update.kind, error=repr(error))
         self._changed.set()
         self._changed = asyncio.Event()
         return True
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -1,6 +1,8 @@
 """The whole path of an entry instance against stand-ins of the platform, in one process."""
 
 import asyncio
+import socket
+import struct
 import time
 import unittest
 from dataclasses import replace
@@ -224,6 +226,34 @@
         reply = await self.platform.ask(instance, "/signoff/1", method="POST", body=b"x")
         self.assertEqual(502, reply.status)
 
+    async def test_chunked_answer_that_breaks_off_is_no_success(self):
+        async def break_off(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            head = f"HTTP/1.1 200 OK\r\nAttempt-Id: {seen.id}\r\nResponse-Seal: s\r\n"
+            writer.write(head.encode() + b"Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n")
+            await writer.drain()
+            writer.close()
+
+        await self.platform.add_server(behave=break_off)
+        instance = await self.platform.ready_instance()
+        reply = await self.platform.ask(instance, "/signoff/1", method="POST", body=b"x")
+        self.assertEqual(502, reply.status)
+
+    async def test_answer_without_length_that_is_reset_is_no_success(self):
+        async def reset(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            head = f"HTTP/1.1 200 OK\r\nAttempt-Id: {seen.id}\r\nResponse-Seal: s\r\n\r\n"
+            writer.write(head.encode() + b"hal")
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            linger = struct.pack("ii", 1, 0)
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+
+        await self.platform.add_server(behave=reset)
+        instance = await self.platform.ready_instance()
+        reply = await self.platform.ask(instance, "/signoff/1", method="POST", body=b"x")
+        self.assertEqual(502, reply.status)
+
     async def test_answer_without_length_ends_with_its_connection(self):
         async def unframed(seen: Seen, writer: asyncio.StreamWriter) -> None:
             head = f"HTTP/1.1 200 OK\r\nAttempt-Id: {seen.id}\r\nResponse-Seal: s\r\n\r\n"
