Let a waiting delay-tolerant request give way to an urgent one behind it on its connection

Cause: responses keep the order of the requests on a connection. In a burst of delay-tolerant requests these wait up to 4 s for a permit, and the urgent requests that callers send behind them on the same connections wait with them.

Change: such a request that has not been sent is refused as not run, with Retry-After, once an urgent one (a third of its target or less) stands behind it and nothing ahead of that one runs already.

--- a/papayalever/entry/caller.py
+++ b/papayalever/entry/caller.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from http import HTTPStatus
 
 import httptools
@@ -34,6 +35,14 @@
         self.status = status
 
 
+@dataclass(eq=False, slots=True)
+class PendingResponse:
+    """A response that is not written yet; without a request if it rejects invalid input."""
+
+    task: asyncio.Task[Response]
+    request: CallerRequest | None = None
+
+
 class CallerConnection(asyncio.Protocol):
     """Parses requests, runs the handler for each and writes the responses in order."""
 
@@ -56,7 +65,7 @@
         self._on_open = on_open
         self._on_close = on_close
         self._parser = httptools.HttpRequestParser(self)
-        self._pending: deque[asyncio.Task[Response]] = deque()
+        self._pending: deque[PendingResponse] = deque()
         self._transport: asyncio.Transport | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._is_reading = False
@@ -120,8 +129,8 @@
         self._is_closing = self._is_lost = True
         if self._timer:
             self._timer.cancel()
-        for task in self._pending:
-            task.cancel()
+        for pending in self._pending:
+            pending.task.cancel()
         self._pending.clear()
         self._memory.used -= self._held_bytes + self._unsent_bytes
         self._held_bytes = self._unsent_bytes = 0
@@ -209,10 +218,13 @@
             body=bytes(self._body),
             arrived_at=self._message_started_at,
             keep_alive=self._parser.should_keep_alive(),
+            ahead=tuple(
+                item.request for item in self._pending if item.request and not item.task.done()
+            ),
         )
         self._body = bytearray()
         task = asyncio.get_running_loop().create_task(self._respond(request))
-        self._pending.append(task)
+        self._pending.append(PendingResponse(task, request))
         task.add_done_callback(lambda _: self._flush())
         self._apply_backpressure()
 
@@ -248,8 +260,8 @@
 
     def _flush(self) -> None:
         """Write the finished responses, in the order of the requests."""
-        while self._pending and self._pending[0].done() and self._transport:
-            task = self._pending.popleft()
+        while self._pending and self._pending[0].task.done() and self._transport:
+            task = self._pending.popleft().task
             if task.cancelled():
                 self._transport.abort()
                 return
@@ -266,8 +278,8 @@
 
     def _close_after_response(self) -> None:
         """Drop the requests that follow a closing response, as if they had not been read."""
-        for task in self._pending:
-            task.cancel()
+        for pending in self._pending:
+            pending.task.cancel()
         self._pending.clear()
         self.close()
 
@@ -282,7 +294,7 @@
             return response
 
         task = asyncio.get_running_loop().create_task(respond())
-        self._pending.append(task)
+        self._pending.append(PendingResponse(task))
         task.add_done_callback(lambda _: self._flush())
 
     def _apply_backpressure(self) -> None:
--- a/papayalever/entry/exchange.py
+++ b/papayalever/entry/exchange.py
@@ -9,6 +9,7 @@
 
 from ..routing.health import SendOutcome, classify_unanswered
 from ..routing.permits import PermitDecision
+from ..routing.pipelining import Turn, find_blocking, is_delay_tolerant
 from ..routing.placement import Placement, PlacementKey
 from ..routing.routes import RouteRule
 from ..routing.servers import Server
@@ -94,6 +95,9 @@
         self._send_count = 0
         self._error_response: Response | None = None
         """Error response of a server, returned to the caller unless a retry succeeds."""
+        self._turn = Turn(route.target_latency_s)
+        self._has_given_way = False
+        request.turn = self._turn
         self.trace = RequestTrace()
 
     def log_fields(self) -> dict:
@@ -115,6 +119,9 @@
     async def run(self) -> Response:
         """Return the response for the caller; raises only when cancelled."""
         self._shared.budget(self.service).note_request(now())
+        ahead = (item.turn for item in self._request.ahead if item.turn)
+        for turn in find_blocking(ahead, self._route.target_latency_s):
+            turn.give_way()
         try:
             async with asyncio.timeout_at(self._deadline):
                 return await self._try_servers()
@@ -125,7 +132,9 @@
         while True:
             if self._is_quarantined():
                 return self._final_response("the request crashed servers")
-            permit = await self._find_permit()
+            permit = await self._wait_for_permit()
+            if permit is None and self._has_given_way:
+                return self._final_response("an urgent request waits behind it")
             if permit is None:
                 return self._final_response("no server has room")
             outcome = await self._attempt(permit)
@@ -138,6 +147,26 @@
             if not self._may_retry():
                 return self._final_response(outcome)
 
+    async def _wait_for_permit(self) -> Permit | None:
+        """Get a permit, unless the request gives way to an urgent one on its connection."""
+        shortest_s = self._shared.routes.shortest_target_s
+        if self.trace.may_have_run or not is_delay_tolerant(self._turn.target_s, shortest_s):
+            return await self._find_permit()
+        search = asyncio.get_running_loop().create_task(self._find_permit())
+
+        def give_way() -> None:
+            self._has_given_way = search.cancel() or self._has_given_way
+
+        self._turn.give_way = give_way
+        try:
+            return await search
+        except asyncio.CancelledError:
+            if not self._has_given_way:
+                raise
+            return None
+        finally:
+            self._turn.give_way = None
+
     async def _find_permit(self) -> Permit | None:
         """Get a permit at a server, selecting again if the selected server leaves meanwhile."""
         started = now()
--- a/papayalever/entry/messages.py
+++ b/papayalever/entry/messages.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum, auto
 
+from ..routing.pipelining import Turn
+
 
 @dataclass(frozen=True, slots=True)
 class RequestMeta:
@@ -28,6 +30,10 @@
     arrived_at: float
     """When the first byte arrived, in seconds of the monotonic clock."""
     keep_alive: bool = True
+    ahead: tuple["CallerRequest", ...] = ()
+    """Requests sent before it on the same connection that have no response yet."""
+    turn: Turn | None = None
+    """Set while the request is handled by a route."""
 
     @property
     def path(self) -> str:
--- a/papayalever/routing/routes.py
+++ b/papayalever/routing/routes.py
@@ -73,6 +73,8 @@
     """Routes of the configuration in force by host, longest path prefix first."""
 
     config: RoutingConfig | None = None
+    shortest_target_s: float = float("inf")
+    """Shortest latency target of the routes."""
     _routes_by_host: dict[str, list[RouteRule]] = field(default_factory=dict)
 
     @property
@@ -91,6 +93,9 @@
             return False
         self.config = config
         self._routes_by_host = _group_by_host(config.routes)
+        self.shortest_target_s = min(
+            (route.target_latency_s for route in config.routes), default=float("inf")
+        )
         return True
 
     def match(self, host: str, path: str) -> RouteRule | None:
