--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -833,6 +833,37 @@
         await asyncio.wait_for(asyncio.shield(task), 6.0)
 
 
+class TestStopUnderLoad(PlatformCase):
+    """Requests that were just accepted, or are still arriving, when a planned stop begins."""
+
+    async def test_pipelined_requests_and_one_whose_body_still_arrives_are_answered(self):
+        await self.platform.add_server(run_s=0.4, slots=50)
+        instance = await self.platform.ready_instance()
+        address = instance.settings.caller_listener
+        pipelining = [await Caller.connect(address) for _ in range(4)]
+        for number, caller in enumerate(pipelining):
+            for turn in range(3):
+                caller.send(f"/lookup/{turn}", f"p{number}-{turn}", key=f"{number}{turn}")
+        uploading = await Caller.connect(address)
+        body = b"u" * 40_000
+        uploading.send("/scan/1", "upload", method="POST", body=body)
+        head_only = await Caller.connect(address)
+        head = b"POST /signoff/1 HTTP/1.1\r\nHost: papaya.example\r\nAttempt-Id: late\r\n"
+        head_only.writer.write(head)
+        await asyncio.sleep(0.05)
+        instance.request_stop()
+        await asyncio.sleep(0.3)
+        head_only.writer.write(b"Deadline-Ms: 3000\r\nContent-Length: 2\r\n\r\no")
+        await asyncio.sleep(0.1)
+        head_only.writer.write(b"k")
+        for caller in pipelining:
+            statuses = [(await caller.read()).status for _ in range(3)]
+            self.assertEqual([200] * 3, statuses)
+        last = await uploading.read(), await head_only.read()
+        self.assertEqual([200, 200], [reply.status for reply in last])
+        self.assertEqual(["close"] * 2, [reply.headers.get("connection") for reply in last])
+
+
 class TestOwnFaults(PlatformCase):
     async def test_error_of_our_own_ends_the_request_at_once_without_a_promise(self):
         await self.platform.add_server()
