--- a/papayalever/entry/permit_broker.py
+++ b/papayalever/entry/permit_broker.py
@@ -232,7 +232,7 @@
         return PermitDecision(PermitState(reply.state), reply.wait_ms / 1000)
 
     def _decide_alone(self, permit: Permit) -> PermitDecision:
-        """Grant or refuse a permit by what this instance knows of the server."""
+        """Grant or refuse a permit from this instance's own view of the server's load."""
         permit.owner = None
         server = permit.server
         has_room = server.load(now()) < server.entry.slots and not server.is_cold(now())
@@ -253,7 +253,7 @@
     # Granting permits.
 
     def handle_acquire(self, message: AcquirePermit) -> PermitReply | None:
-        """Grant, queue or refuse a permit at once; None if this instance knows no server yet.
+        """Grant, queue or refuse a permit at once; None if the server table is empty.
 
         Load pattern: all instances restart at once, and some send requests before the owners of
         the servers have their state. The instances then decide alone instead of refusing.
--- a/papayalever/routing/object_cache.py
+++ b/papayalever/routing/object_cache.py
@@ -22,7 +22,7 @@
 BASELINE_WEIGHT = 0.15
 """Weight of the newest run time in the averages, which span about seven runs."""
 SEPARATION = 1.5
-"""Runs without the object must take this many times as long before a single run tells anything."""
+"""Ratio of uncached to cached run times below which runs do not change the capacity."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,7 +61,7 @@
         return use
 
     def note_run(self, use: ObjectUse, rank: int, ran_s: float) -> None:
-        """Learn from the run time of a request."""
+        """Update run time averages and capacity from a finished request."""
         if use.key in self._has_run_by_key:
             self._has_run_by_key[use.key] = True
         if use.depth is None:
--- a/papayalever/routing/server_queue.py
+++ b/papayalever/routing/server_queue.py
@@ -111,7 +111,7 @@
         return mean_run_s or self.mean_run_s_by_key.get((rank, not is_cached)) or INITIAL_RUN_S
 
     def note_run(self, key: RunTimeKey, use: ObjectUse | None, ran_s: float) -> None:
-        """Add a run time to the moving average, and learn from it what the server has cached."""
+        """Add a run time to the moving average and to the estimate of the cached objects."""
         if use:
             self.objects.note_run(use, key[0], ran_s)
         mean_s = self.mean_run_s_by_key.get(key, ran_s)
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -1,4 +1,4 @@
-"""Malformed messages and unexpected errors: the process lives and goes on to learn of changes."""
+"""Malformed messages and unexpected errors: the process keeps running and applies later updates."""
 
 import asyncio
 import unittest
