Log limits that servers name, and who permitted each send

The adapter decodes the limit of a response, the only place that names the header. An instance logs each change of a server's limit, and once a value that is not a number; a request's line has its permits (owner, ahead, alone) and the limits known. papayalever explain prints both.

--- a/papayalever/entry/exchange.py
+++ b/papayalever/entry/exchange.py
@@ -12,6 +12,7 @@
 from ..routing.pipelining import Turn, find_blocking, is_delay_tolerant
 from ..routing.placement import Placement, PlacementKey
 from ..routing.routes import RouteRule
+from ..routing.server_limits import LimitReport
 from ..routing.servers import Server
 from .clock import now
 from .connection import SendError, SendFailure, connect
@@ -46,6 +47,8 @@
 SHED_RETRY_AFTER_S = 0.05
 """Retry-After of a request that a server with room refused: there is nothing to wait for."""
 SHED_WITH_ROOM = "server with room refused"
+MAX_LOGGED_VALUE_BYTES = 40
+"""Longest part of a malformed header that is logged."""
 MIN_SEND_TIME_S = 0.02
 """Remaining time below which a request is not sent again."""
 
@@ -59,6 +62,10 @@
     servers: list[str] = field(default_factory=list)
     loads: list[int] = field(default_factory=list)
     """Known load of each server, in requests, when it was selected."""
+    permits: list[str] = field(default_factory=list)
+    """Who permitted each send."""
+    limits: dict[str, float] = field(default_factory=dict)
+    """Known limits of the servers in requests per second, by server, when they were selected."""
     failures: list[str] = field(default_factory=list)
     refused_ms: dict[str, float] = field(default_factory=dict)
     """Expected wait in milliseconds by server, for servers whose owner refused the request."""
@@ -111,6 +118,8 @@
             "waited_ms": round(trace.waited_s * 1000, 1),
             "servers": trace.servers,
             "loads": trace.loads,
+            "permits": trace.permits,
+            "limits": trace.limits,
             "failures": trace.failures,
             "refused_ms": trace.refused_ms,
             "may_have_run": trace.may_have_run,
@@ -240,6 +249,9 @@
         started, ran_s, running, end = now(), 0.0, -1, SendOutcome.UNKNOWN
         self.trace.servers.append(server.id)
         self.trace.loads.append(server.load(started))
+        self.trace.permits.append(str(permit.source))
+        if (limit_per_s := shared.limits.find(server.entry)) is not None:
+            self.trace.limits[server.id] = limit_per_s
         try:
             response = await self._send(server)
             kind = shared.adapter.read_response(response)
@@ -248,6 +260,7 @@
                 shared.servers.note_load(
                     server, response.load.running, response.load.waiting, now()
                 )
+            self._note_limit(server, response, kind)
             if kind not in (ResponseKind.NOT_RUN, ResponseKind.OTHER_SERVER):
                 ran_s = now() - started
             end = classify_response(response.status, kind)
@@ -299,6 +312,24 @@
         shared.pool.release(entry, connection, shared.max_idle(entry.service))
         return response
 
+    def _note_limit(self, server: Server, response: ServerResponse, kind: ResponseKind) -> None:
+        """Record the limit that a response names; only a signed one ends a limit by naming none."""
+        limits = self._shared.limits
+        if kind == ResponseKind.OTHER_SERVER:
+            return
+        bad_value = response.unreadable_limit
+        if bad_value is not None and limits.note_unreadable(server.entry):
+            log.warning(
+                "limit of a server is not a number",
+                server=server.id,
+                value=repr(bad_value[:MAX_LOGGED_VALUE_BYTES]),
+            )
+        is_end = kind == ResponseKind.SEALED and bad_value is None
+        if response.limit_per_s is None and not is_end:
+            return
+        if limits.note(server.entry, LimitReport(response.limit_per_s, now())):
+            log.info("server limit changed", server=server.id, per_s=response.limit_per_s)
+
     def _encode(self, server_id: str) -> bytes:
         adapter = self._shared.adapter
         added = adapter.forward_headers(server_id, self._deadline - now())
--- a/papayalever/entry/instance.py
+++ b/papayalever/entry/instance.py
@@ -20,6 +20,7 @@
 from ..routing.placement import Placement
 from ..routing.replication_tree import InstanceEntry, ReplicationTree
 from ..routing.routes import CallerLimits, RouteTable, WeightedRoundRobin
+from ..routing.server_limits import ServerLimits
 from ..routing.servers import ServerTable
 from .caller import CallerConnection, Handler
 from .clock import now
@@ -85,7 +86,7 @@
         self._store_adapter = store_adapter
         self._store = store
         rng = Random(settings.instance)
-        servers = ServerTable()
+        servers, limits = ServerTable(), ServerLimits()
         body_memory = BodyMemory(int(settings.memory_mb * BODY_MEMORY_SHARE * 1024 * 1024))
         self.metrics = EntryMetrics(self._read_gauges)
         self.shared = SharedState(
@@ -93,6 +94,7 @@
             bounds=settings.bounds,
             routes=RouteTable(),
             servers=servers,
+            limits=limits,
             splitter=WeightedRoundRobin(),
             pool=ConnectionPool(body_memory),
             crashes=CrashTracker(store, settings.instance),
@@ -403,7 +405,9 @@
             await asyncio.sleep(SWEEP_INTERVAL_S)
             for server_id in self.shared.servers.drop_expired(now()):
                 log.info("server removed", id=server_id, after_outage=True)
-            self.shared.pool.sweep(set(self.shared.servers.server_by_id))
+            listed_ids = set(self.shared.servers.server_by_id)
+            self.shared.pool.sweep(listed_ids)
+            self.shared.limits.forget_unlisted(listed_ids, now())
 
     # Shutdown.
 
--- a/papayalever/entry/messages.py
+++ b/papayalever/entry/messages.py
@@ -74,6 +74,10 @@
     body: bytes
     request_id: bytes | None = None
     load: ServerLoad | None = None
+    limit_per_s: float | None = None
+    """Requests per second that the server takes from all instances together, if it limits them."""
+    unreadable_limit: bytes | None = None
+    """Value of a limit that is not a number."""
 
 
 @dataclass(slots=True)
--- a/papayalever/entry/permit_broker.py
+++ b/papayalever/entry/permit_broker.py
@@ -7,6 +7,7 @@
 import itertools
 from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass
+from enum import StrEnum, auto
 
 import logbook
 
@@ -61,6 +62,17 @@
     """Whether the request prefers another server."""
 
 
+class PermitSource(StrEnum):
+    """Who decided that a request may be sent."""
+
+    OWNER = auto()
+    """The server's owner, which may be this instance."""
+    AHEAD = auto()
+    """This instance, which sent it while it informed the owner."""
+    ALONE = auto()
+    """This instance, since no owner could decide."""
+
+
 @dataclass(eq=False, slots=True)
 class Permit:
     """Right to send one request to a server, held until released."""
@@ -68,6 +80,7 @@
     server: Server
     owner: InstanceEntry | None
     number: int
+    source: PermitSource = PermitSource.OWNER
 
 
 class PermitBroker:
@@ -107,6 +120,8 @@
         """
         owner = self._owners.find(server.entry, now())
         permit = Permit(server, owner, next(self._numbers))
+        if owner is None:
+            permit.source = PermitSource.ALONE
         if owner and self._may_self_grant(server, spec):
             self._self_grant(permit, spec)
             return permit
@@ -168,6 +183,7 @@
         )
 
     def _self_grant(self, permit: Permit, spec: PermitSpec) -> None:
+        permit.source = PermitSource.AHEAD
         self._servers.note_start(permit.server)
         if self._is_local(permit):
             self._scheduler.request(
@@ -234,6 +250,7 @@
     def _decide_alone(self, permit: Permit) -> PermitDecision:
         """Grant or refuse a permit from this instance's own view of the server's load."""
         permit.owner = None
+        permit.source = PermitSource.ALONE
         server = permit.server
         has_room = server.load(now()) < server.entry.slots and not server.is_cold(now())
         return PermitDecision(PermitState.GRANTED if has_room else PermitState.REFUSED)
--- a/papayalever/entry/shared.py
+++ b/papayalever/entry/shared.py
@@ -6,6 +6,7 @@
 
 from ..routing.retry_budget import WindowedRetryBudget
 from ..routing.routes import RouteTable, WeightedRoundRobin
+from ..routing.server_limits import ServerLimits
 from ..routing.servers import ServerTable
 from .crashes import CrashTracker
 from .framing import BodyMemory
@@ -35,6 +36,7 @@
     bounds: Bounds
     routes: RouteTable
     servers: ServerTable
+    limits: ServerLimits
     splitter: WeightedRoundRobin
     pool: ConnectionPool
     crashes: CrashTracker
--- a/papayalever/explain.py
+++ b/papayalever/explain.py
@@ -39,6 +39,7 @@
         "server entry refused",
         "server failing",
         "server recovered",
+        "server limit changed",
         "idle connection lost",
         "rested connection lost",
     )
@@ -115,9 +116,16 @@
     failures = record.get("failures", [])
     for number, server in enumerate(record.get("servers", [])):
         load = (record.get("loads") or [])[number : number + 1]
+        permit = (record.get("permits") or [])[number : number + 1]
+        limit_per_s = record.get("limits", {}).get(server)
+        known = f"load known {load[0] if load else '?'}"
+        if permit:
+            known += f", permitted by {permit[0]}"
+        if limit_per_s is not None:
+            known += f", limit known {limit_per_s:g} a second"
         ending = "no answer" if record["reason"] else "answered"
         result = failures[number] if number < len(failures) else ending
-        yield f"  sent to {server} (load known {load[0] if load else '?'}): {result}"
+        yield f"  sent to {server} ({known}): {result}"
         for line in state.server_events.get(server, []):
             yield f"    {line['at'] - at:+.3f} s {format_record(line)}"
     if not record.get("view_is_current", True):
--- a/papayalever/platform/wire.py
+++ b/papayalever/platform/wire.py
@@ -13,6 +13,9 @@
 LOAD = b"server-load"
 NOT_EXECUTED = b"not-executed"
 WARMUP_MS = b"warmup-ms"
+LIMIT = b"server-limit"
+"""Requests per second that the server takes from all instances together."""
+DECIMAL = re.compile(rb"\d{1,18}(\.\d{1,18})?")
 AFFINITY_COOKIE = re.compile(rb"(?:^|;)\s*Affinity-Key=([^;]*)")
 
 READY_PATH = "/readyz"
@@ -47,7 +50,7 @@
 
 
 def read_response(response: ServerResponse) -> ResponseKind:
-    """Tell whether the backend server ran the request; fills in the response's load and id."""
+    """Tell whether the backend server ran the request; fills in the response's other fields."""
     is_sealed = is_not_executed = False
     for name, value in response.headers:
         if name == REQUEST_ID:
@@ -58,6 +61,8 @@
             is_not_executed = True
         elif name == LOAD:
             response.load = _parse_load(value)
+        elif name == LIMIT:
+            _read_limit(response, value)
     if response.status == MISDIRECTED_STATUS:
         return ResponseKind.OTHER_SERVER
     if is_not_executed:
@@ -91,6 +96,16 @@
         return None
 
 
+def _read_limit(response: ServerResponse, value: bytes) -> None:
+    """Add a limit to a response; the lowest of several counts."""
+    if not DECIMAL.fullmatch(value.strip()):
+        response.unreadable_limit = value
+        return
+    per_s = float(value)
+    known = response.limit_per_s
+    response.limit_per_s = per_s if known is None else min(known, per_s)
+
+
 def _parse_load(value: bytes) -> ServerLoad | None:
     try:
         running, waiting, slots = (int(part) for part in value.split(b","))
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -153,6 +153,7 @@
     target: str
     headers: dict[str, str]
     body: bytes
+    at: float = field(default_factory=time.monotonic)
 
 
 Behave = Callable[["FakeServer", Seen, asyncio.StreamWriter], "asyncio.Future | None"]
@@ -190,6 +191,8 @@
     cut_short: int = 0
     connections: int = 0
     slots: int = 3
+    limit: str = ""
+    """Value of the header in which the server names a limit, empty for none."""
     _server: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
@@ -245,7 +248,8 @@
                 work.cancel()
                 self.cut_short += 1
                 raise ConnectionError
-            writer.write(sealed(seen))
+            limit = f"Server-Limit: {self.limit}\r\n" if self.limit else ""
+            writer.write(sealed(seen, extra=limit))
         finally:
             self.running -= 1
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -193,6 +193,22 @@
         wire.read_response(broken)
         self.assertIsNone(broken.load)
 
+    def test_limit_is_read_or_left_out(self):
+        for value in (b"2", b"1.6", b"0.25", b"0", b" 30 "):
+            response = ServerResponse(200, b"", [(b"server-limit", value)], b"")
+            wire.read_response(response)
+            self.assertEqual(
+                (float(value), None), (response.limit_per_s, response.unreadable_limit)
+            )
+        for value in (b"", b"-1", b"nan", b"inf", b"1e3", b"1_0", b"2,5", b"\xff", b"9" * 400):
+            response = ServerResponse(200, b"", [(b"server-limit", value)], b"")
+            wire.read_response(response)
+            self.assertIsNone(response.limit_per_s, value)
+            self.assertEqual(value, response.unreadable_limit)
+        twice = ServerResponse(200, b"", [(b"server-limit", b"5"), (b"server-limit", b"2")], b"")
+        wire.read_response(twice)
+        self.assertEqual(2.0, twice.limit_per_s)
+
     def test_look_is_read(self):
         look = wire.read_directory_query("/resolve?name=a.example&region=noord&zone=noord-a")
         self.assertEqual(DirectoryQuery("noord", "noord-a"), look)
@@ -203,7 +219,14 @@
         st.lists(
             st.tuples(
                 st.sampled_from(
-                    [b"attempt-id", b"deadline-ms", b"cookie", b"server-load", b"response-seal"]
+                    [
+                        b"attempt-id",
+                        b"deadline-ms",
+                        b"cookie",
+                        b"server-load",
+                        b"server-limit",
+                        b"response-seal",
+                    ]
                 ),
                 st.binary(max_size=20),
             )
@@ -220,7 +243,7 @@
             r"Attempt-Id|Deadline-Ms|Target-Instance|Response-Seal|Server-Load|Not-Executed"
             r"|Affinity-Key|Warmup-Ms|Instance-Id|entry_kind|warmup_left|path_prefix"
             r"|max_concurrency|allowed_regions|session_affinity|serializable|PAPAYALEVER_BOOT"
-            r"|attempt-id|deadline-ms|response-seal|server-load",
+            r"|attempt-id|deadline-ms|response-seal|server-load|Server-Limit|server-limit",
         )
         found = [
             f"{path.relative_to(ROOT)}: {match.group()}"
