Add a test of incident LIMIT that fails: servers get more than they named

Callers of six instances send 60 requests a second to four servers, three of which name limits of 2.2, 1.6 and 0.4 a second. The check is the users' rule: from 4 s after a limit was first named at most 1.5 times what it allows in any 4 s, + 5, from instances that passed on such an answer half a second before. Seen on this code: 50 requests in 4 s at a limit of 2.2 (18.2 allowed).

--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -19,6 +19,10 @@
 HISTORY = 1_000
 FIRST_PORT = 9_000
 """Ports of the store's addresses for one caller each."""
+ENTRY_HEADER = "X-Entry"
+"""Names the instance that a caller sent its request to."""
+SERVER_HEADER = "X-Server"
+"""Names the server that answered."""
 _hosts = itertools.count(1)
 
 
@@ -193,6 +197,8 @@
     slots: int = 3
     limit: str = ""
     """Value of the header in which the server names a limit, empty for none."""
+    limit_changes: list[tuple[float, float | None]] = field(default_factory=list)
+    """Limits that its answers named, with the time of the first answer that did."""
     _server: asyncio.Server | None = None
     _writers: set[asyncio.StreamWriter] = field(default_factory=set)
 
@@ -248,11 +254,19 @@
                 work.cancel()
                 self.cut_short += 1
                 raise ConnectionError
-            limit = f"Server-Limit: {self.limit}\r\n" if self.limit else ""
-            writer.write(sealed(seen, extra=limit))
+            writer.write(sealed(seen, extra=self.name_limit()))
         finally:
             self.running -= 1
 
+    def name_limit(self) -> str:
+        """Headers of an answer that name the server and its limit."""
+        limit = float(self.limit) if self.limit.replace(".", "").isdigit() else None
+        known = self.limit_changes[-1][1] if self.limit_changes else None
+        if limit != known:
+            self.limit_changes.append((time.monotonic(), limit))
+        headers = f"{SERVER_HEADER}: {self.id}\r\n"
+        return headers + (f"Server-Limit: {self.limit}\r\n" if self.limit else "")
+
 
 async def _wait_end(reader: asyncio.StreamReader) -> None:
     while not reader.at_eof() and reader.exception() is None:
@@ -298,6 +312,7 @@
         body: bytes = b"",
         deadline_ms: int = 3000,
         host: str = "papaya.example",
+        entry_name: str = "",
     ) -> None:
         lines = [
             f"{method} {target} HTTP/1.1",
@@ -307,6 +322,8 @@
         ]
         if key:
             lines.append(f"Cookie: Affinity-Key={key}")
+        if entry_name:
+            lines.append(f"{ENTRY_HEADER}: {entry_name}")
         if body or method != "GET":
             lines.append(f"Content-Length: {len(body)}")
         self.writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -1,21 +1,34 @@
 """Servers that name a limit of requests per second: what is read, logged and sent."""
 
+import asyncio
 import io
+import itertools
 import json
 import os
 import tempfile
+import time
 import unittest
+from collections.abc import Callable
+from dataclasses import dataclass, field
 from pathlib import Path
+from random import Random
+
+import logbook
 
 from papayalever.context import Environment
 from papayalever.core import main
+from papayalever.entry.instance import EntryInstance
 from papayalever.entry.logs import JsonLogHandler
 from papayalever.routing.server_limits import FORGET_S, REORDER_S, LimitReport, ServerLimits
 from papayalever.status import ExitStatus
 
-from .support.platform import Platform
+from .support.limits import LimitCheck
+from .support.platform import Caller, Platform, Reply
 from .test_decisions import server_entry
 
+OBJECTS = 40
+SEED = 25
+
 
 class TestLimitReports(unittest.TestCase):
     def setUp(self) -> None:
@@ -97,3 +110,65 @@
                 self.assertEqual(200, reply.status)
         self.assertEqual(1, len(self.events("limit of a server is not a number")))
         self.assertEqual([], self.events("server limit changed"))
+
+
+@dataclass
+class Load:
+    """Callers that send requests at a fixed rate to instances, and the answers they got."""
+
+    platform: Platform
+    check: LimitCheck
+    per_s: float
+    choose: Callable[[Random], EntryInstance]
+    kinds: tuple[str, ...] = ("lookup", "lookup", "signoff")
+    replies: list[Reply] = field(default_factory=list)
+    _rng: Random = field(default_factory=lambda: Random(SEED))
+    _ids: itertools.count = field(default_factory=lambda: itertools.count(1))
+
+    async def run(self, seconds: float) -> None:
+        end = time.monotonic() + seconds
+        async with asyncio.TaskGroup() as group:
+            while time.monotonic() < end:
+                group.create_task(self.send_one(self.choose(self._rng)))
+                await asyncio.sleep(self._rng.expovariate(self.per_s))
+
+    async def send_one(self, instance: EntryInstance) -> None:
+        kind, key = self._rng.choice(self.kinds), str(self._rng.randrange(OBJECTS))
+        name = instance.settings.instance
+        try:
+            caller = await Caller.connect(instance.settings.caller_listener)
+        except ConnectionError:
+            return
+        method = "GET" if kind in ("lookup", "recording") else "POST"
+        caller.send(
+            f"/{kind}/{key}", f"l{next(self._ids)}", method=method, key=key, entry_name=name
+        )
+        reply = await caller.read()
+        caller.close()
+        self.check.note_reply(name, reply.headers, time.monotonic())
+        self.replies.append(reply)
+
+
+class TestServerLimit(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.enterContext(logbook.NullHandler().applicationbound())
+        self.platform = await self.enterAsyncContext(Platform())
+
+    async def test_server_gets_no_more_than_its_limit_from_all_instances(self):
+        """Incident LIMIT: limits were not read, and 22 instances sent what they had before."""
+        limits = {"2.2": "noord-a", "0.4": "noord-a", "1.6": "midden-a", "": "noord-b"}
+        servers = [
+            await self.platform.add_server(domain, limit=limit, run_s=0.05)
+            for limit, domain in limits.items()
+        ]
+        instances = [
+            await self.platform.add_instance(domain)
+            for domain in ("noord-a", "noord-a", "noord-b", "noord-b", "midden-a", "midden-a")
+        ]
+        await self.platform.wait(
+            lambda: all(item.is_ready for item in instances), "the instances are ready"
+        )
+        check = LimitCheck()
+        load = Load(self.platform, check, 60.0, lambda rng: rng.choice(instances))
+        await load.run(9.0)
+        self.assertEqual([], check.find(servers)[:3])
