Keep the limit that a server names, over all instances

Class of fault: a bound over all instances has to be kept where the sends of all of them meet, and every path to a server has to ask there; a bound kept by each instance, or by some paths, is none.

Fix: the owner of a server, which already grants the permits for every send, keeps a token bucket and a count of 4 s for it. Each message about a permit carries the limit that its sender saw last and its age, so that an owner that took over or started again has it before it grants anything to an instance that was told. Instances in other regions do not send ahead of the decision to a server with a limit, and an instance that reaches no owner does not send to it at all. While instances lose each other several of them own a server: the first three in order have fixed shares (1, 0.25 and 0.15 of the limit, bursts of 2, 1 and 1), others none, so that the sum stays under 1.5 times the limit in 4 s, + 5, without a message. Work without room goes to the next server of its object as if that were its own, or is refused at once with the time at which there is room.

--- a/papayalever/cluster/messages.py
+++ b/papayalever/cluster/messages.py
@@ -9,6 +9,10 @@
 from enum import StrEnum
 
 ACCEPTS_PACKED = "#packed"
+NO_LIMIT = -1.0
+"""Rate of a backend server that names no limit."""
+NO_REPORT = -1
+"""Age of a limit that the sender knows nothing about."""
 
 
 class MemberState(StrEnum):
@@ -378,6 +382,10 @@
     capacity or if this server handled the object recently."""
     is_already_sent: bool
     """Whether the request has been sent already; the reply then informs about the next request."""
+    limit_per_s: float = NO_LIMIT
+    """Limit that the server last named, in requests per second, as far as the sender knows."""
+    limit_age_ms: int = NO_REPORT
+    """Time since the sender learned it."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -394,6 +402,9 @@
 
     state: str
     wait_ms: int
+    limit_per_s: float = NO_LIMIT
+    limit_age_ms: int = NO_REPORT
+    """Limit of the server, as in `AcquirePermit`."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -408,3 +419,6 @@
     """Number of running and waiting requests that the server reported; -1 if it reported none."""
     outcome: str = "unknown"
     """Outcome of the send, a value of `routing.health.SendOutcome`."""
+    limit_per_s: float = NO_LIMIT
+    limit_age_ms: int = NO_REPORT
+    """Limit of the server, as in `AcquirePermit`."""
--- a/papayalever/entry/exchange.py
+++ b/papayalever/entry/exchange.py
@@ -183,9 +183,10 @@
             for _ in range(MAX_SELECTIONS):
                 candidates = self._candidates()
                 if not candidates:
+                    self._note_limited_servers()
                     return None
                 permit = await self._ask_candidates(candidates)
-                if permit or self._shared.servers.may_send(candidates[0]):
+                if permit or self._is_usable(candidates[0]):
                     return permit
             return None
         finally:
@@ -211,10 +212,29 @@
             return permit
         self._note_refusal(candidates[0], permit)
         self._retry_after_s = max(MIN_RETRY_AFTER_S, permit.wait_s)
-        return await find_fallback()
+        if self._is_usable(candidates[0]):
+            return await find_fallback()
+        return None
 
     def _note_refusal(self, server: Server, decision: PermitDecision) -> None:
         self.trace.refused_ms[server.id] = round(decision.wait_s * 1000, 1)
+        if self._shared.limits.find(server.entry) is not None:
+            self._shared.servers.note_limited(server, decision.wait_s, now())
+
+    def _is_usable(self, server: Server) -> bool:
+        """Whether a selected server did not leave meanwhile and has room within its limit."""
+        return self._shared.servers.may_send(server) and now() >= server.limited_until
+
+    def _note_limited_servers(self) -> None:
+        """Let the caller come back when the first server has room within its limit."""
+        at = now()
+        waits_s = [
+            server.limited_until - at
+            for server in self._shared.servers.servers(self.service)
+            if server.limited_until > at
+        ]
+        if waits_s:
+            self._retry_after_s = max(MIN_RETRY_AFTER_S, min(waits_s))
 
     def _permit_spec(self, is_fallback: bool = False) -> PermitSpec:
         return PermitSpec(
@@ -327,8 +347,7 @@
         is_end = kind == ResponseKind.SEALED and bad_value is None
         if response.limit_per_s is None and not is_end:
             return
-        if limits.note(server.entry, LimitReport(response.limit_per_s, now())):
-            log.info("server limit changed", server=server.id, per_s=response.limit_per_s)
+        self._permit_broker.note_limit(server, LimitReport(response.limit_per_s, now()))
 
     def _encode(self, server_id: str) -> bytes:
         adapter = self._shared.adapter
--- a/papayalever/entry/instance.py
+++ b/papayalever/entry/instance.py
@@ -117,7 +117,14 @@
             self._tree.own,
             owners,
             servers,
-            PermitScheduler(self._cold_per_s, servers.may_send, log_health),
+            limits,
+            PermitScheduler(
+                self._cold_per_s,
+                servers.may_send,
+                log_health,
+                lambda server: limits.find(server.entry),
+                lambda server: owners.rank(settings.instance, server.entry),
+            ),
             self._links,
         )
         self._must_register = asyncio.Event()
--- a/papayalever/entry/permit_broker.py
+++ b/papayalever/entry/permit_broker.py
@@ -13,11 +13,20 @@
 
 from ..cluster.exceptions import PeerTimeoutError, PeerUnreachableError
 from ..cluster.links import LinkPool
-from ..cluster.messages import AcquirePermit, AwaitPermit, PermitReply, PermitState, ReleasePermit
+from ..cluster.messages import (
+    NO_LIMIT,
+    NO_REPORT,
+    AcquirePermit,
+    AwaitPermit,
+    PermitReply,
+    PermitState,
+    ReleasePermit,
+)
 from ..routing.health import SendOutcome, ServerHealth
 from ..routing.owners import Owners
 from ..routing.permits import PermitDecision, PermitScheduler
 from ..routing.replication_tree import InstanceEntry
+from ..routing.server_limits import LimitReport, ServerLimits
 from ..routing.server_queue import PermitId, PermitRequest
 from ..routing.servers import Server, ServerTable
 from .clock import now
@@ -91,12 +100,14 @@
         own: InstanceEntry,
         owners: Owners,
         servers: ServerTable,
+        limits: ServerLimits,
         scheduler: PermitScheduler,
         pool: LinkPool,
     ) -> None:
         self._own = own
         self._owners = owners
         self._servers = servers
+        self._limits = limits
         self._scheduler = scheduler
         self._pool = pool
         self._numbers = itertools.count(1)
@@ -158,7 +169,14 @@
             self._scheduler.release((self._own.name, permit.number), ran_s, running, now(), end)
             self._schedule_decisions()
             return
-        message = ReleasePermit(self._own.name, permit.number, int(ran_s * 1000), running, str(end))
+        message = ReleasePermit(
+            self._own.name,
+            permit.number,
+            int(ran_s * 1000),
+            running,
+            str(end),
+            *self._limit_fields(permit.server),
+        )
         self._spawn(self._send_release(permit.owner, message))
 
     def note_end(self, permit: Permit, ran_s: float, running: int, end: SendOutcome) -> None:
@@ -178,9 +196,8 @@
         at = now()
         is_other_region = server.entry.region != self._own.region
         is_uncongested = at >= server.congested_until and server.load(at) < server.entry.slots
-        return (
-            is_other_region and is_uncongested and not server.is_cold(at) and not spec.is_fallback
-        )
+        is_limited = server.is_cold(at) or self._limits.find(server.entry) is not None
+        return is_other_region and is_uncongested and not is_limited and not spec.is_fallback
 
     def _self_grant(self, permit: Permit, spec: PermitSpec) -> None:
         permit.source = PermitSource.AHEAD
@@ -219,6 +236,7 @@
             spec.object_key,
             spec.is_fallback,
             is_already_sent,
+            *self._limit_fields(permit.server),
         )
         return await self._call_owner(permit, message, REPLY_TIMEOUT_S)
 
@@ -245,6 +263,7 @@
         self._owners.clear_suspect(owner.name)
         if reply is None:
             return self._decide_alone(permit)
+        self._note_reported_limit(server, reply.limit_per_s, reply.limit_age_ms)
         return PermitDecision(PermitState(reply.state), reply.wait_ms / 1000)
 
     def _decide_alone(self, permit: Permit) -> PermitDecision:
@@ -252,7 +271,8 @@
         permit.owner = None
         permit.source = PermitSource.ALONE
         server = permit.server
-        has_room = server.load(now()) < server.entry.slots and not server.is_cold(now())
+        is_limited = server.is_cold(now()) or self._limits.find(server.entry) is not None
+        has_room = server.load(now()) < server.entry.slots and not is_limited
         return PermitDecision(PermitState.GRANTED if has_room else PermitState.REFUSED)
 
     def _spawn(self, work: Coroutine) -> None:
@@ -280,6 +300,7 @@
         server = self._servers.server_by_id.get(message.server)
         if server is None:
             return PermitReply(PermitState.REFUSED, 0)
+        self._note_reported_limit(server, message.limit_per_s, message.limit_age_ms)
         at = now()
         request = PermitRequest(
             (message.instance, message.number),
@@ -294,7 +315,9 @@
         decision = self._scheduler.request(server, request, at)
         if decision.state == PermitState.QUEUED and not request.is_already_sent:
             self._add_waiter(request.id)
-        return _reply(decision)
+        return PermitReply(
+            str(decision.state), int(decision.wait_s * 1000), *self._limit_fields(server)
+        )
 
     async def handle_await(self, message: AwaitPermit) -> PermitReply:
         """Reply once a queued request is decided, or after a wait that it is still queued."""
@@ -314,10 +337,33 @@
         """Release a permit that another instance held or waited for."""
         permit_id = (message.instance, message.number)
         self._waiter_by_id.pop(permit_id, None)
+        if server := self._scheduler.find_server(permit_id):
+            self._note_reported_limit(server, message.limit_per_s, message.limit_age_ms)
         end = SendOutcome(message.outcome)
         self._scheduler.release(permit_id, message.ran_ms / 1000, message.running, now(), end)
         self._schedule_decisions()
 
+    def note_limit(self, server: Server, report: LimitReport) -> None:
+        """Record the limit that a response named, and decide waiting requests again."""
+        if not self._limits.note(server.entry, report):
+            return
+        log.info("server limit changed", server=server.id, per_s=report.per_s)
+        self._servers.note_limited(server, 0.0, now())
+        self._schedule_decisions()
+
+    def _note_reported_limit(self, server: Server, per_s: float, age_ms: int) -> None:
+        if age_ms != NO_REPORT:
+            limit_per_s = None if per_s == NO_LIMIT else per_s
+            self.note_limit(server, LimitReport(limit_per_s, now() - age_ms / 1000))
+
+    def _limit_fields(self, server: Server) -> tuple[float, int]:
+        """What this instance knows of a server's limit, as message fields."""
+        report = self._limits.find_report(server.entry)
+        if report is None:
+            return (NO_LIMIT, NO_REPORT)
+        per_s = NO_LIMIT if report.per_s is None else report.per_s
+        return (per_s, int((now() - report.seen_at) * 1000))
+
     def note_servers_changed(self) -> None:
         """Drop servers that were removed, and decide waiting requests again."""
         self._scheduler.drop_removed_servers(set(self._servers.server_by_id))
--- a/papayalever/routing/owners.py
+++ b/papayalever/routing/owners.py
@@ -55,14 +55,15 @@
 
     def find(self, server: ServerEntry, now: float) -> InstanceEntry | None:
         """Return the owner of a server, or None if every candidate is suspect."""
-        if server.id not in self._owners_by_server:
-            self._owners_by_server[server.id] = self._rank_owners(server)
-        found = self._first_not_suspect(self._owners_by_server[server.id], now)
-        if found:
-            return found
-        if server.id not in self._fallback_owners_by_server:
-            self._fallback_owners_by_server[server.id] = self._rank_fallback_owners(server)
-        return self._first_not_suspect(self._fallback_owners_by_server[server.id], now)
+        found = self._first_not_suspect(self._find_owners(server), now)
+        return found or self._first_not_suspect(self._find_fallback_owners(server), now)
+
+    def rank(self, name: str, server: ServerEntry) -> int | None:
+        """Position of an instance in the order in which the owners of a server take over."""
+        names = [entry.name for entry in self._find_owners(server)]
+        if name not in names:
+            names += [entry.name for entry in self._find_fallback_owners(server)]
+        return names.index(name) if name in names else None
 
     def mark_suspect(self, name: str, now: float) -> None:
         """Skip an owner for a while because it did not answer."""
@@ -77,6 +78,16 @@
         self._failures.pop(name, None)
         self._suspect_until.pop(name, None)
 
+    def _find_owners(self, server: ServerEntry) -> list[InstanceEntry]:
+        if server.id not in self._owners_by_server:
+            self._owners_by_server[server.id] = self._rank_owners(server)
+        return self._owners_by_server[server.id]
+
+    def _find_fallback_owners(self, server: ServerEntry) -> list[InstanceEntry]:
+        if server.id not in self._fallback_owners_by_server:
+            self._fallback_owners_by_server[server.id] = self._rank_fallback_owners(server)
+        return self._fallback_owners_by_server[server.id]
+
     def _rank_owners(self, server: ServerEntry) -> list[InstanceEntry]:
         local = self._entries_by_domain.get(server.failure_domain, [])
         largest = sorted(local, key=lambda item: (-item.capacity, item.name))[:OWNERS_PER_DOMAIN]
--- a/papayalever/routing/permits.py
+++ b/papayalever/routing/permits.py
@@ -15,6 +15,7 @@
 
 from ..cluster.messages import PermitState
 from .health import SendOutcome, ServerHealth
+from .rate_limiter import NO_SHARE, RateLimiter, compute_share
 from .server_queue import PermitId, PermitRequest, ServerQueue
 from .servers import Server
 
@@ -49,6 +50,10 @@
     """Returns whether a server may get new requests at all."""
     on_health: Callable[[Server, ServerHealth], None] = lambda server, health: None
     """Called when a server starts to fail every request and when it recovers."""
+    limit_per_s: Callable[[Server], float | None] = lambda server: None
+    """Returns the limit that a server names, in requests per second."""
+    owner_rank: Callable[[Server], int | None] = lambda server: 0
+    """Returns the position of this instance in the order of a server's owners, if it has one."""
     _queue_by_server: dict[str, ServerQueue] = field(default_factory=dict)
     _server_by_permit: dict[PermitId, str] = field(default_factory=dict)
     _sequence_numbers: count = field(default_factory=count)
@@ -56,6 +61,7 @@
     def request(self, server: Server, request: PermitRequest, now: float) -> PermitDecision:
         """Grant a permit, queue the request or refuse it at once."""
         queue = self._find(server)
+        self._update_limiter(queue, now)
         queue.note_target(request)
         if request.is_already_sent:
             has_room = not queue.waiting_by_id and self._has_room(queue, request, now)
@@ -64,12 +70,14 @@
             return PermitDecision(PermitState.GRANTED if has_room else PermitState.QUEUED, wait_s)
         if queue.health.is_failing and not self._has_room(queue, request, now):
             # Another server may respond in time; here the request would wait for a probe to end.
-            return PermitDecision(PermitState.REFUSED, queue.expected_run_s(request))
+            return _refuse(queue, request, now)
+        if queue.limiter and queue.limiter.share == NO_SHARE:
+            return _refuse(queue, request, now)
         if request.is_fallback:
             is_cached = queue.objects.has(request.object_key)
             may_serve = is_cached or queue.in_use(now) < server.entry.slots * MAX_FALLBACK_LOAD
             if queue.waiting_by_id or not may_serve or not self._has_room(queue, request, now):
-                return PermitDecision(PermitState.REFUSED, queue.expected_run_s(request))
+                return _refuse(queue, request, now)
             return self._grant(queue, request, now)
         if self._is_first(queue, request, now) and self._has_room(queue, request, now):
             return self._grant(queue, request, now)
@@ -109,12 +117,18 @@
             queue.untracked_requests = max(0, running - len(queue.lease_end_by_id) - 1)
             queue.untracked_requests_at = now
 
+    def find_server(self, permit: PermitId) -> Server | None:
+        """The server that a permit or a queued request is for."""
+        queue = self._queue_by_server.get(self._server_by_permit.get(permit, ""))
+        return queue.server if queue else None
+
     def decide_queued(self, now: float) -> list[tuple[PermitId, PermitDecision]]:
         """Grant queued requests that have room now and refuse those that are too late."""
         decided: list[tuple[PermitId, PermitDecision]] = []
         for queue in self._queue_by_server.values():
             self._expire_leases(queue, now)
             if queue.waiting_by_id:
+                self._update_limiter(queue, now)
                 decided += self._decide_queue(queue, now)
         return decided
 
@@ -134,6 +148,7 @@
             queue.waiting_by_id.values(),
             key=lambda item: queue.sort_key(item[1], now, item[0]),
         )
+        ahead = 0
         for _, request in waiting:
             if may_send and self._has_room(queue, request, now):
                 del queue.waiting_by_id[request.id]
@@ -142,18 +157,32 @@
                 not may_send
                 or queue.health.is_failing
                 or now >= self._refuse_at(queue, request, now)
+                or self._is_beyond_limit(queue, request, ahead, now)
             ):
                 del queue.waiting_by_id[request.id]
                 self._server_by_permit.pop(request.id, None)
-                decided.append(
-                    (request.id, PermitDecision(PermitState.REFUSED, queue.expected_run_s(request)))
-                )
+                decided.append((request.id, _refuse(queue, request, now)))
+            else:
+                ahead += 1
         return decided
 
+    def _is_beyond_limit(
+        self, queue: ServerQueue, request: PermitRequest, ahead: int, now: float
+    ) -> bool:
+        """Whether the server's limit leaves a queued request no room in time."""
+        if queue.limiter is None:
+            return False
+        if queue.limiter.share == NO_SHARE:
+            return True
+        start_at = now + queue.limiter.wait_s(ahead, now)
+        return start_at > self._refuse_at(queue, request, start_at)
+
     def _grant(self, queue: ServerQueue, request: PermitRequest, now: float) -> PermitDecision:
         queue.lease_end_by_id[request.id] = request.lease_ends_at + LEASE_MARGIN_S
         self._server_by_permit[request.id] = queue.server.id
         queue.note_grant(request)
+        if queue.limiter:
+            queue.limiter.note_grant(now)
         if queue.server.is_cold(now):
             queue.cold_granted_at.append(now)
         return PermitDecision(PermitState.GRANTED)
@@ -164,6 +193,8 @@
         limit = queue.health.limit_permits(server.entry.slots + extra, now)
         if now < server.full_until or queue.in_use(now) >= limit:
             return False
+        if queue.limiter and not queue.limiter.has_room(now):
+            return False
         if not server.is_cold(now):
             return True
         queue.cold_granted_at = [at for at in queue.cold_granted_at if at > now - 1.0]
@@ -180,14 +211,16 @@
         """Time until a request gets a permit, from the run times of those that precede it."""
         own_run_s = queue.expected_run_s(request)
         own_key = queue.sort_key(request, now, 0)
-        ahead_s = sum(
-            queue.expected_run_s(other)
+        ahead = [
+            other
             for _, other in queue.waiting_by_id.values()
             if queue.sort_key(other, now, 0) <= own_key
-        )
+        ]
+        ahead_s = sum(queue.expected_run_s(other) for other in ahead)
         slots = queue.server.entry.slots
         excess = max(0, queue.in_use(now) - slots - EXTRA_PERMITS + 1)
-        return (ahead_s + excess * own_run_s) / slots
+        wait_s = (ahead_s + excess * own_run_s) / slots
+        return max(wait_s, queue.limiter.wait_s(len(ahead), now)) if queue.limiter else wait_s
 
     def _refuse_at(self, queue: ServerQueue, request: PermitRequest, start_at: float) -> float:
         """When a request is refused if it is still queued; see `LATE_WAIT_RATIO` for late ones."""
@@ -203,9 +236,28 @@
                 queue.forget_permit(permit)
                 self._server_by_permit.pop(permit, None)
 
+    def _update_limiter(self, queue: ServerQueue, now: float) -> None:
+        limit_per_s = self.limit_per_s(queue.server)
+        if limit_per_s is None:
+            queue.limiter = None
+            return
+        share = compute_share(limit_per_s, self.owner_rank(queue.server))
+        if queue.limiter is None:
+            queue.limiter = RateLimiter(share, now)
+        elif queue.limiter.share != share:
+            queue.limiter.set_share(share, now)
+
     def _find(self, server: Server) -> ServerQueue:
         queue = self._queue_by_server.get(server.id)
         if queue is None or queue.server is not server:
             queue = ServerQueue(server)
             self._queue_by_server[server.id] = queue
         return queue
+
+
+def _refuse(queue: ServerQueue, request: PermitRequest, now: float) -> PermitDecision:
+    """Refuse a request; it finds room after a run, or once the server's limit allows it."""
+    wait_s = queue.expected_run_s(request)
+    if queue.limiter:
+        wait_s = max(wait_s, queue.limiter.wait_s(0, now))
+    return PermitDecision(PermitState.REFUSED, wait_s)
--- a/papayalever/routing/server_queue.py
+++ b/papayalever/routing/server_queue.py
@@ -9,6 +9,7 @@
 
 from .health import ServerHealth
 from .object_cache import ObjectCache, ObjectUse
+from .rate_limiter import RateLimiter
 from .servers import Server
 
 INITIAL_RUN_S = 0.3
@@ -70,6 +71,8 @@
     objects: ObjectCache = field(default_factory=ObjectCache)
     """Routes and objects that the server handled lately."""
     health: ServerHealth = field(default_factory=ServerHealth)
+    limiter: RateLimiter | None = None
+    """Set while the server names a limit."""
     target_s_by_rank: dict[int, float] = field(default_factory=dict)
     """Longest latency target seen for each rank."""
     _group_by_rank: dict[int, int] = field(default_factory=dict)
--- a/papayalever/routing/servers.py
+++ b/papayalever/routing/servers.py
@@ -14,6 +14,8 @@
 SHED_PAUSE_S = 0.1
 """How long a server that refused a request counts as full. It frees one or two slots within half of
 the shortest mean run time."""
+MAX_LIMITED_S = 1.0
+"""A server whose limit left no room is asked again at least this often, since the limit may end."""
 FIRST_EJECT_S = 0.5
 MAX_EJECT_S = 4.0
 """Crashed servers are down for a few seconds, so they are retried at least this often."""
@@ -63,6 +65,8 @@
     cold_until: float = float("-inf")
     congested_until: float = float("-inf")
     """Set when its owner or the server itself reports that it has no room."""
+    limited_until: float = float("-inf")
+    """Until when the limit that the server named leaves no room."""
     grace_until: float | None = None
     """Set when the entry was missing after an outage of the store; it may return until then."""
     pace: float = 1.0
@@ -80,8 +84,9 @@
         )
 
     def is_available(self, now: float) -> bool:
-        """Whether it is ready and not ejected for failures."""
-        return self.entry.phase == Phase.READY and now >= self.ejected_until
+        """Whether it is ready, not ejected for failures and has room within its limit."""
+        usable_from = max(self.ejected_until, self.limited_until)
+        return self.entry.phase == Phase.READY and now >= usable_from
 
     def is_cold(self, now: float) -> bool:
         """Whether it is cold, so that a surge of requests would crash it."""
@@ -205,6 +210,10 @@
         server.full_until = now + SHED_PAUSE_S
         self.note_congested(server, now)
 
+    def note_limited(self, server: Server, wait_s: float, now: float) -> None:
+        """Use other servers until the limit that a server named leaves room again."""
+        server.limited_until = now + min(wait_s, MAX_LIMITED_S)
+
     def note_failure(self, server: Server, now: float) -> None:
         """Eject a server that was unreachable or broke a connection, longer each time."""
         server.failures += 1
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -289,6 +289,8 @@
     status: int
     headers: dict[str, str]
     body: bytes
+    id: str = ""
+    took_s: float = 0.0
 
 
 class Caller:
