Send a refused request again on another connection

Here: a request that a server with room refused is sent again with the same id, and the pool gave it the connection that it had just used. The copy of the refusal bears the id of the request that now runs, and was taken for its response: the caller got 503 for a request that had run, or the request went to a second server as well.

A request takes no connection any more that it has used before; a response that arrives on a fresh one cannot be a copy of its own earlier refusal.

--- a/papayalever/entry/exchange.py
+++ b/papayalever/entry/exchange.py
@@ -15,7 +15,7 @@
 from ..routing.server_limits import LimitReport
 from ..routing.servers import Server
 from .clock import now
-from .connection import SendError, SendFailure, connect
+from .connection import ClientConnection, SendError, SendFailure, connect
 from .forwarding import encode_request, end_to_end_headers
 from .messages import (
     CallerRequest,
@@ -100,6 +100,7 @@
         self._excluded_ids: set[str] = set()
         self._connect_failures = 0
         self._send_count = 0
+        self._used_connections: set[ClientConnection] = set()
         self._error_response: Response | None = None
         """Error response of a server, returned to the caller unless a retry succeeds."""
         self._turn = Turn(route.target_latency_s)
@@ -303,7 +304,12 @@
     async def _send(self, server: Server) -> ServerResponse:
         shared = self._shared
         entry = server.entry
-        connection = await shared.pool.acquire(entry, not self._route.is_idempotent)
+        # A copy of a refusal bears the id of this request too, so that only another connection
+        # tells it from the response to the next send.
+        connection = await shared.pool.acquire(
+            entry, not self._route.is_idempotent, self._used_connections
+        )
+        self._used_connections.add(connection)
         may_have_run_before = self.trace.may_have_run
         self.trace.may_have_run = True
         self._send_count += 1
--- a/papayalever/entry/pool.py
+++ b/papayalever/entry/pool.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import defaultdict, deque
+from collections.abc import Container
 
 from ..routing.idle import IdleLimit
 from ..routing.servers import ServerEntry
@@ -28,25 +29,31 @@
         self._trust_by_service: defaultdict[str, IdleLimit] = defaultdict(IdleLimit)
         self.opened = 0
 
-    async def acquire(self, server: ServerEntry, must_not_retry: bool) -> ClientConnection:
+    async def acquire(
+        self,
+        server: ServerEntry,
+        must_not_retry: bool,
+        excluded: Container[ClientConnection] = (),
+    ) -> ClientConnection:
         """Take an idle connection or open a new one; raises `SendError`.
 
         Connections for requests that must not be retried are reused only after short idle times.
         """
         now = asyncio.get_running_loop().time()
         trusted_s = self._trust_by_service[server.service].limit_s(must_not_retry, now)
-        idle = self._idle_by_id.get(server.id)
-        while idle:
-            connection = idle.pop()
+        idle = self._idle_by_id.get(server.id, deque())
+        for connection in reversed(idle.copy()):
+            if connection in excluded:
+                continue
             idle_s = now - connection.idle_since
-            if not connection.is_usable or idle_s > _idle_limit(connection):
-                connection.close()
-            elif idle_s > trusted_s:
-                idle.append(connection)
+            is_expired = not connection.is_usable or idle_s > _idle_limit(connection)
+            if not is_expired and idle_s > trusted_s:
                 break
-            else:
+            idle.remove(connection)
+            if not is_expired:
                 connection.idle_s = idle_s
                 return connection
+            connection.close()
         self.opened += 1
         return await connect(server.address, CONNECT_TIMEOUT_S, self._body_memory)
 
