Refuse requests that come late in a planned stop, and answer all others

What callers saw, as reported by other operators, and here too: in the grace time of a planned stop, in calm, requests were taken and sent to a server, and at its end they were cut without an answer. Here these were uploads whose body ended late, requests pipelined behind a slow one, and requests that still waited for a server.

Cause: an instance that leaves closed idle connections only; what arrived on others was handled as ever, and at the end all connections were aborted.

3 s after SIGTERM (half of a shorter grace time) a request is refused as not run, with a Retry-After of 0.05 s and Connection: close: another instance takes it at once. 0.5 s before the kill every pending request is answered: not run if nothing was sent, 504 otherwise, with the server's own failure if there is one. The times are decided in entry/stopping.py. The four tests failed before (connections ended without an answer) and pass.

--- a/papayalever/entry/exchange.py
+++ b/papayalever/entry/exchange.py
@@ -97,6 +97,8 @@
         self._digest: str | None = None
         deadline_s = meta.deadline_s or DEFAULT_DEADLINE_S
         self._deadline = request.arrived_at + min(deadline_s, route.timeout_s)
+        self._scope: asyncio.Timeout | None = None
+        """Ends the request at its deadline."""
         self._excluded_ids: set[str] = set()
         self._connect_failures = 0
         self._send_count = 0
@@ -133,11 +135,19 @@
         for turn in find_blocking(ahead, self._route.target_latency_s):
             turn.give_way()
         try:
-            async with asyncio.timeout_at(self._deadline):
+            async with asyncio.timeout_at(self._deadline) as self._scope:
                 return await self._try_servers()
         except TimeoutError:
             return self._final_response("out of time")
 
+    def end_by(self, at: float) -> None:
+        """Answer the request by this time, whatever became of it."""
+        if at >= self._deadline:
+            return
+        self._deadline = at
+        if self._scope and not self._scope.expired():
+            self._scope.reschedule(at)
+
     async def _try_servers(self) -> Response:
         while True:
             if self._is_quarantined():
--- a/papayalever/entry/instance.py
+++ b/papayalever/entry/instance.py
@@ -36,6 +36,7 @@
 from .settings import EntrySettings
 from .shared import HeaderAdapter, SharedState
 from .state_updates import INSTANCE_KIND, StateUpdater, StoreAdapter
+from .stopping import RETRY_AFTER_S, StopPlan, plan_stop
 from .store_cache import StoreCache
 from .store_protocol import InstanceStore
 from .supervision import supervise
@@ -47,10 +48,6 @@
 """Interval between removals of expired idle connections and of lapsed server entries."""
 DIRECTORY_TTL_S = 2.0
 """How long callers may cache a directory response."""
-DRAIN_ACCEPT_S = 1.5
-"""How long after SIGTERM new connections are accepted, from callers that still use the address."""
-STOP_MARGIN_S = 0.4
-"""Time reserved before SIGKILL to close the remaining connections."""
 CLOSE_TIMEOUT_S = 0.2
 """Limit on the closing handshakes with other instances at shutdown."""
 METRICS_PORT = 9464
@@ -107,7 +104,10 @@
         self._connections: set[CallerConnection] = set()
         """All connections: those of callers and those of the other HTTP listeners."""
         self._listeners: list[asyncio.Server] = []
+        self._exchanges: set[Exchange] = set()
         self._stop = asyncio.Event()
+        self._stop_plan: StopPlan | None = None
+        """Set when a graceful shutdown begins."""
         self.is_leaving = False
         self._is_listening = False
         self._tree = ReplicationTree(_own_entry(settings, int(time.time() * 1000)))
@@ -319,11 +319,14 @@
         if isinstance(exchange, Response):
             self._log_response(request, meta, exchange, started)
             return exchange
+        self._exchanges.add(exchange)
         try:
             response = await exchange.run()
         except asyncio.CancelledError:
             self._log_response(request, meta, Response(0, reason="caller left"), started, exchange)
             raise
+        finally:
+            self._exchanges.discard(exchange)
         self._log_response(request, meta, response, started, exchange)
         return response
 
@@ -337,7 +340,13 @@
         route = shared.routes.match(request.host, request.path)
         if route is None:
             return Response(404, [], b"no route\n", "no route")
-        return Exchange(shared, self.permit_broker, self._placement, request, meta, route)
+        plan = self._stop_plan
+        if plan and now() >= plan.forward_until:
+            return refuse(shared, "the instance stops", RETRY_AFTER_S)
+        exchange = Exchange(shared, self.permit_broker, self._placement, request, meta, route)
+        if plan:
+            exchange.end_by(plan.answer_by)
+        return exchange
 
     def _log_response(
         self,
@@ -420,8 +429,9 @@
 
     async def _drain(self, caller_server: asyncio.Server) -> None:
         """Accept new connections for a while, then finish pending requests until the time limit."""
-        loop = asyncio.get_running_loop()
-        began = loop.time()
+        plan = self._stop_plan = plan_stop(self.settings.bounds.stop_s, now())
+        for exchange in self._exchanges:
+            exchange.end_by(plan.answer_by)
         self.is_leaving = self.follower.is_leaving = True
         log.info("leaving", open_connections=len(self._callers))
         for connection in list(self._callers):
@@ -430,10 +440,9 @@
             await self._store.delete(INSTANCE_KIND, self.settings.instance)
         except StoreAccessError as error:
             log.warning("entry not removed from the store", error=str(error))
-        await asyncio.sleep(max(0.0, began + DRAIN_ACCEPT_S - loop.time()))
+        await asyncio.sleep(max(0.0, plan.accept_until - now()))
         caller_server.close()
-        end_at = began + self.settings.bounds.stop_s - STOP_MARGIN_S
-        while self._callers and loop.time() < end_at:
+        while self._callers and now() < plan.close_by:
             for connection in list(self._callers):
                 connection.drain()
             await asyncio.sleep(0.02)
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -1,8 +1,10 @@
 """Reports of other operators: repeated refusals, heads cut short, late work at a stop."""
 
 import asyncio
+import time
+from dataclasses import replace
 
-from .support.platform import Seen, refusal, sealed
+from .support.platform import Caller, Seen, configuration, refusal, sealed
 from .test_entry import PlatformCase
 
 STOP_S = 3.0
@@ -108,3 +110,78 @@
     async def test_answer_cut_in_the_head_that_follows_a_skipped_response_is_no_success(self):
         foreign = sealed(Seen("other", "GET", "/", {}, b""))
         self.assertEqual(502, (await self.ask_server_that_cuts(0.8, foreign))[0])
+
+
+class TestLateWorkAtAStop(PlatformCase):
+    """Requests that come late in the grace time of a planned stop, while all is calm."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.server = await self.platform.add_server(run_s=1.5, slots=20)
+        long = {"timeout_ms": 9000, "target_latency_ms": 5000}
+        routes = {name: long for name in ("lookup", "signoff", "scan")}
+        patience = {"limits": {"idle_timeout_ms": 9000}}
+        self.platform.store.put("config", "main", configuration(4, **routes, **patience))
+        self.instance = await self.platform.ready_instance()
+        await self.platform.wait(lambda: self.instance.shared.routes.version == 4, "version 4")
+        settings = self.instance.settings
+        self.instance.reload(replace(settings, bounds=replace(settings.bounds, stop_s=STOP_S)))
+
+    async def stop_and_wait(self, seconds: float) -> None:
+        self.instance.request_stop()
+        await asyncio.sleep(seconds)
+
+    def arrived(self) -> set[str]:
+        return {seen.id for seen in self.server.seen}
+
+    async def test_upload_whose_body_ends_late_is_refused_and_not_passed_on(self):
+        caller = await Caller.connect(self.instance.settings.caller_listener)
+        head = (
+            "POST /scan/1 HTTP/1.1\r\nHost: papaya.example\r\nAttempt-Id: late\r\n"
+            "Deadline-Ms: 9000\r\nContent-Length: 4\r\n\r\nbo"
+        )
+        caller.writer.write(head.encode())
+        await asyncio.sleep(0.1)
+        await self.stop_and_wait(0.75 * STOP_S)
+        caller.writer.write(b"dy")
+        began = time.monotonic()
+        reply = await caller.read()
+        self.assertEqual((503, "close"), (reply.status, reply.headers.get("connection")))
+        self.assertLess(time.monotonic() - began, 0.3)
+        self.assertNotIn("late", self.arrived())
+
+    async def test_requests_pipelined_late_are_not_passed_on(self):
+        caller = await Caller.connect(self.instance.settings.caller_listener)
+        self.server.run_s = 2.3
+        caller.send("/lookup/1", "first", key="1")
+        await asyncio.sleep(0.1)
+        await self.stop_and_wait(0.6 * STOP_S)
+        caller.send("/lookup/2", "second", key="2")
+        statuses = [(await caller.read()).status for _ in range(2)]
+        self.assertEqual([200, 503], statuses)
+        self.assertNotIn("second", self.arrived())
+
+    async def test_request_that_outlasts_the_grace_gets_an_answer(self):
+        self.server.run_s = 20.0
+        slow = await Caller.connect(self.instance.settings.caller_listener)
+        slow.send("/signoff/1", "slow", method="POST", body=b"x", deadline_ms=9000)
+        await asyncio.sleep(0.1)
+        self.instance.request_stop()
+        reply = await slow.read()
+        self.assertEqual(504, reply.status)
+
+    async def test_request_that_still_waits_for_a_server_is_refused_as_not_run(self):
+        self.server.run_s, entry = 20.0, self.server.entry(max_concurrency=1)
+        self.platform.store.put("servers", self.server.id, entry)
+        listed = self.instance.shared.servers.server_by_id
+        await self.platform.wait(lambda: listed[self.server.id].entry.slots == 1, "one slot")
+        callers = [await Caller.connect(self.instance.settings.caller_listener) for _ in range(4)]
+        for number, caller in enumerate(callers):
+            caller.send("/signoff/1", f"s{number}", method="POST", body=b"x", deadline_ms=30_000)
+        await asyncio.sleep(0.2)
+        self.instance.request_stop()
+        statuses = {f"s{number}": (await item.read()).status for number, item in enumerate(callers)}
+        arrived = self.arrived()
+        for name, status in statuses.items():
+            self.assertEqual(504 if name in arrived else 503, status)
+        self.assertIn(503, statuses.values())
