Give a cold server no more than its rate while its owners are lost

Callers see crashes of servers that have just started.

The rate of a cold server is divided among its owners like a named limit; an instance that is none of the first three grants nothing. The new test failed before and passes.

--- a/papayalever/routing/permits.py
+++ b/papayalever/routing/permits.py
@@ -197,8 +197,11 @@
             return False
         if not server.is_cold(now):
             return True
+        share = compute_share(self.cold_per_s(server.entry.service), self.owner_rank(server))
+        if share == NO_SHARE:
+            return False
         queue.cold_granted_at = [at for at in queue.cold_granted_at if at > now - 1.0]
-        return len(queue.cold_granted_at) < max(1, int(self.cold_per_s(server.entry.service)))
+        return len(queue.cold_granted_at) < max(1, int(share.per_s))
 
     def _is_first(self, queue: ServerQueue, request: PermitRequest, now: float) -> bool:
         """Whether the request precedes all queued ones."""
--- a/papayalever/routing/rate_limiter.py
+++ b/papayalever/routing/rate_limiter.py
@@ -1,9 +1,9 @@
-"""How the owner of a backend server keeps the request rate that the server named as its limit.
+"""How several owners of a backend server keep the request rate that it takes from all instances.
 
-Load pattern: instances lose their owner, or each other, while a server names a limit. For a moment
-several instances then own the server, and each grants requests that the others do not count. The
-first owners in order therefore have fixed shares, whose sum stays within the users' bound without a
-message: at most 1.5 times what the limit allows in any 4 s, and 5 requests more.
+Load pattern: instances lose their owner, or each other, while a server names a limit or is cold.
+For a moment several instances then own the server, and each grants requests that the others do not
+count. The first owners in order therefore have fixed shares, whose sum stays within the bounds of
+the users' rules without a message: 1.5 times the rate, and 5 requests more.
 
 Pure state: ``now`` is in seconds of the owner's monotonic clock.
 """
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -334,8 +334,10 @@
 
     async def test_work_beyond_the_limit_goes_to_other_servers(self):
         limited = await self.add_server("noord-a", "1")
-        for domain in ("noord-a", "noord-b"):
-            await self.add_server(domain)
+        others = [await self.add_server(domain) for domain in ("noord-a", "noord-b")]
+        for server in others:
+            # Busy enough that no fallback server has spare capacity most of the time.
+            server.run_s = 0.1
         await self.add_instances("noord-a", "noord-b")
         load = self.load(40.0)
         await load.run(6.0)
@@ -438,19 +440,40 @@
         self.assert_kept()
         self.assertTrue([seen for seen in self.server.seen if seen.at > killed_at])
 
-    async def test_limit_holds_while_no_instance_reaches_another(self):
-        load = self.load(60.0)
-        await load.run(3.0)
-
+    def cut_instances(self) -> None:
         async def request(address, message, timeout_s):
             raise PeerUnreachableError("cut")
 
         for instance in self.instances:
             self.enterContext(patch.object(instance._links, "request", request))
+
+    async def test_limit_holds_while_no_instance_reaches_another(self):
+        load = self.load(60.0)
+        await load.run(3.0)
+        self.cut_instances()
         await load.run(8.0)
         self.assert_kept()
         self.assert_truthful(load)
 
+    async def test_cold_server_gets_its_rate_while_no_instance_reaches_another(self):
+        cold = await self.add_server("noord-b")
+        entry = cold.entry(warmup_left_ms=20_000)
+        self.platform.store.put("servers", cold.id, entry)
+        await self.platform.wait(
+            lambda: all(
+                cold.id in item.shared.servers.server_by_id
+                and item.shared.servers.server_by_id[cold.id].is_cold(time.monotonic())
+                for item in self.instances
+            ),
+            "the server is cold",
+        )
+        self.cut_instances()
+        await self.load(90.0).run(5.0)
+        arrived_at = [seen.at for seen in cold.seen]
+        most = max(sum(end - 1.0 < at <= end for at in arrived_at) for end in arrived_at)
+        # The rule: 1.5 times the rate of the configuration, which is 2.6 a second, and 5 more.
+        self.assertLessEqual(most, 1.5 * 2.6 + 5)
+
     async def test_limit_holds_while_replies_of_its_owners_are_late(self):
         load = self.load(60.0)
         await load.run(3.0)
