Let the soak's servers name limits, and check answers at planned stops

Servers name limits that change and end, one of them no number, two of eleven kinds of faults, beside kills, pauses, stops and proxies. Checked with the users' rule from what servers and callers see; excused are instances that were killed, paused or stopped and servers whose proxy held requests back. New check: a program that was only told to stop ends no running request without an answer.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -15,7 +15,9 @@
 
 from papayalever.entry.instance import METRICS_PATH, METRICS_PORT
 
+from ..support.limits import LimitCheck
 from ..support.platform import (
+    Behave,
     Caller,
     FakeServer,
     PlatformStore,
@@ -29,6 +31,7 @@
 
 DOMAINS = ("noord-a", "noord-b", "midden-a")
 INSTANCES_PER_DOMAIN = 2
+"""Unless ``--instances`` names another number."""
 SERVERS_PER_DOMAIN = 3
 CALLERS = 12
 DRAIN_S = 2.5
@@ -51,6 +54,8 @@
     log: Path
     process: subprocess.Popen | None = None
     disturbed_at: float = 0.0
+    must_answer: bool = True
+    """Whether it ends no connection without an answer, since it was not killed or paused."""
 
     def start(self) -> None:
         with open(self.log, "ab") as log:
@@ -69,16 +74,18 @@
 class Soak:
     """One seeded run."""
 
-    def __init__(self, seed: int, directory: Path) -> None:
+    def __init__(self, seed: int, directory: Path, instances: int) -> None:
         self.rng = Random(seed)
         self.net = f"127.{100 + seed % 100}.{os.getpid() % 250}"
         self.ledger = Ledger()
+        self.limits = LimitCheck()
         self.store = PlatformStore(f"{self.net}.1:8142")
         self.store_proxy = FaultProxy(f"{self.net}.2:8142", self.store.address)
         self.server_by_id: dict[str, FakeServer] = {}
         self.proxy_by_id: dict[str, FaultProxy] = {}
         self.programs: list[Program] = []
         self.directory = directory
+        self.instances = instances
         self.store_disturbed_at = -100.0
         self.left_at: dict[str, float] = {}
         self.emptied_at: dict[str, float] = {}
@@ -104,11 +111,11 @@
             for _ in range(SERVERS_PER_DOMAIN):
                 await self.add_server(domain)
         for domain in DOMAINS:
-            for _ in range(INSTANCES_PER_DOMAIN):
+            for _ in range(self.instances):
                 self.add_program(domain)
         for program in self.programs:
             program.start()
-        await asyncio.sleep(3.0)
+        await asyncio.sleep(3.0 * max(1.0, self.instances / INSTANCES_PER_DOMAIN / 2))
 
     def add_program(self, domain: str) -> None:
         number = next(self._hosts)
@@ -121,7 +128,7 @@
         number = next(self._hosts)
         proxy_address = f"{self.net}.{number}:8080"
         server = FakeServer(f"i-{number}", f"{self.net}.{number}:8081", domain)
-        server.behave = self.run_request
+        server.behave = self.run_at(server)
         proxy = FaultProxy(proxy_address, server.address)
         await server.start()
         await proxy.start()
@@ -130,12 +137,15 @@
         self.store.put("servers", server.id, entry)
         return server
 
-    async def run_request(self, seen: Seen, writer: asyncio.StreamWriter) -> None:
-        at = self.now()
-        self.ledger.note_run(seen.id, at)
-        self.check_allowed(seen, at)
-        await asyncio.sleep(self.rng.uniform(0.005, 0.08))
-        writer.write(sealed(seen, body_of(seen.id)))
+    def run_at(self, server: FakeServer) -> Behave:
+        async def run_request(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            at = self.now()
+            self.ledger.note_run(seen.id, at)
+            self.check_allowed(seen, at)
+            await asyncio.sleep(self.rng.uniform(0.005, 0.08))
+            writer.write(sealed(seen, body_of(seen.id), extra=server.name_limit()))
+
+        return run_request
 
     def check_allowed(self, seen: Seen, at: float) -> None:
         """A leaving server and an emptied domain get nothing from undisturbed instances."""
@@ -164,14 +174,14 @@
                 await asyncio.sleep(0.1)
                 continue
             for _ in range(rng.randint(1, 12)):
-                sent = self.send(caller, rng)
-                status = await self.take(caller, sent)
+                sent = self.send(caller, rng, program)
+                status = await self.take(caller, sent, program)
                 if status == 0 or self.is_over:
                     break
                 await asyncio.sleep(rng.uniform(0.0, 0.1))
             caller.close()
 
-    def send(self, caller: Caller, rng: Random) -> Sent:
+    def send(self, caller: Caller, rng: Random, program: Program) -> Sent:
         kind = rng.choice(["lookup", "lookup", "signoff", "scan"])
         sent = Sent(f"r{next(self._ids)}", kind == "lookup", self.now(), rng.choice([1.0, 3.0]))
         self.ledger.sent_by_id[sent.id] = sent
@@ -182,10 +192,11 @@
             key=str(rng.randint(0, 20)),
             body=bytes(rng.randint(1, 60_000)) if kind == "scan" else b"",
             deadline_ms=int(sent.deadline_s * 1000),
+            entry_name=program.name,
         )
         return sent
 
-    async def take(self, caller: Caller, sent: Sent) -> int:
+    async def take(self, caller: Caller, sent: Sent, program: Program) -> int:
         try:
             async with asyncio.timeout(sent.deadline_s):
                 reply = await caller.read()
@@ -193,6 +204,9 @@
             sent.status = 0
             self.ledger.statuses[0] += 1
             return 0
+        if reply.status == 0 and program.must_answer and self.ledger.runs[sent.id]:
+            self.ledger.find(self.now(), f"{program.name} ends {sent.id}, which runs, unanswered")
+        self.limits.note_reply(program.name, reply.headers, self.now())
         sent.status, sent.body = reply.status, reply.body
         sent.seal = reply.headers.get("response-seal", "")
         self.ledger.note_answer(sent, self.now())
@@ -210,6 +224,8 @@
             self.replace_server,
             self.fault_server,
             self.corrupt_server,
+            self.limit_server,
+            self.limit_server,
             self.fault_store,
             self.change_configuration,
             self.empty_domain,
@@ -228,7 +244,7 @@
     async def kill_program(self) -> None:
         if program := self.pick_program():
             self.say(f"kill {program.name}")
-            program.disturbed_at = self.now() + 2.0
+            self.note_disturbed(program, 2.0)
             program.process.kill()
             await self.restart(program)
 
@@ -236,7 +252,7 @@
         running = [program for program in self.programs if program.is_running]
         self.say(f"kill all {len(running)}")
         for program in running:
-            program.disturbed_at = self.now() + 2.0
+            self.note_disturbed(program, 2.0)
             program.process.kill()
         await asyncio.gather(*(self.restart(program) for program in running))
 
@@ -244,6 +260,7 @@
         if program := self.pick_program():
             self.say(f"stop {program.name}")
             program.disturbed_at = self.now() + 8.0
+            self.limits.excuse(program.name, self.now(), self.now() + 8.0)
             program.process.send_signal(signal.SIGTERM)
             await self.restart(program, 7.0)
 
@@ -251,22 +268,31 @@
         if program := self.pick_program():
             pause_s = self.rng.uniform(0.3, 3.0)
             self.say(f"pause {program.name} for {pause_s:.1f} s")
-            program.disturbed_at = self.now() + pause_s
+            self.note_disturbed(program, pause_s)
             program.process.send_signal(signal.SIGSTOP)
             await asyncio.sleep(pause_s)
             program.process.send_signal(signal.SIGCONT)
 
+    def note_disturbed(self, program: Program, for_s: float) -> None:
+        """A program is killed or paused: it owes nothing until some time after."""
+        program.disturbed_at = self.now() + for_s
+        program.must_answer = False
+        self.limits.excuse(program.name, self.now(), self.now() + for_s + CONTACT_S)
+
     async def restart(self, program: Program, most_s: float = 2.0) -> None:
         end = self.now() + most_s
         while program.is_running and self.now() < end:
             await asyncio.sleep(0.05)
         if program.is_running:
             self.ledger.find(self.now(), f"{program.name} still runs {most_s} s after its signal")
+            program.must_answer = False
             program.process.kill()
         program.process.wait()
+        self.limits.forget(program.name)
         await asyncio.sleep(self.rng.uniform(0.1, 1.0))
         if not self.is_over:
             program.start()
+            program.must_answer = True
             program.disturbed_at = max(program.disturbed_at, self.now())
 
     def pick_server(self) -> FakeServer | None:
@@ -277,6 +303,7 @@
         if server := self.pick_server():
             self.say(f"crash {server.id}")
             proxy = self.proxy_by_id[server.id]
+            server.limit = ""
             await server.stop()
             proxy.reset()
             await asyncio.sleep(self.rng.uniform(0.5, 3.0))
@@ -290,6 +317,8 @@
         if server := self.pick_server():
             self.say(f"replace {server.id}")
             await self.add_server(server.failure_domain, cold_ms=1500)
+            if server.id in self.left_at:
+                return
             address = self.proxy_by_id[server.id].address
             self.left_at[server.id] = self.now()
             self.store.put("servers", server.id, server.entry(address=address, phase="draining"))
@@ -299,16 +328,28 @@
     async def fault_server(self) -> None:
         if server := self.pick_server():
             proxy = self.proxy_by_id[server.id]
+            started = self.now()
             await self.fault_proxy(proxy, f"server {server.id}")
+            # What the proxy held back arrives at once.
+            self.limits.excuse(server.id, started, self.now() + 1.0)
 
     async def corrupt_server(self) -> None:
         """The server accepts requests and fails or never answers them."""
         if server := self.pick_server():
-            behave = self.rng.choice([fail, hang])
+            behave = self.rng.choice([fail_at(server), hang])
             self.say(f"{server.id} will {behave.__name__}")
             server.behave = behave
             await asyncio.sleep(self.rng.uniform(1.0, 5.0))
-            server.behave = self.run_request
+            server.behave = self.run_at(server)
+
+    async def limit_server(self) -> None:
+        """The server names limits that change, one of them no number, and then none."""
+        if server := self.pick_server():
+            for _ in range(self.rng.randint(1, 3)):
+                server.limit = self.rng.choice(["0.3", "0.8", "1.6", "2.5", "6", "12", "many"])
+                self.say(f"{server.id} names a limit of {server.limit}")
+                await asyncio.sleep(self.rng.uniform(3.0, 9.0))
+            server.limit = ""
 
     async def fault_store(self) -> None:
         self.store_disturbed_at = self.now() + 6.0
@@ -368,7 +409,7 @@
         await self.check_configuration()
         self.is_over = True
         await asyncio.gather(*callers)
-        return self.ledger.findings
+        return self.ledger.findings + self.limits.find(self.server_by_id.values())
 
     async def check_configuration(self) -> None:
         """With nothing disturbed, a change is in force everywhere within its bound."""
@@ -394,8 +435,12 @@
         await self.store.stop()
 
 
-async def fail(seen: Seen, writer: asyncio.StreamWriter) -> None:
-    writer.write(sealed(seen, b"failed", "500 Internal Server Error"))
+def fail_at(server: FakeServer) -> Behave:
+    async def fail(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        limit = server.name_limit()
+        writer.write(sealed(seen, b"failed", "500 Internal Server Error", limit))
+
+    return fail
 
 
 async def hang(seen: Seen, writer: asyncio.StreamWriter) -> None:
@@ -415,10 +460,10 @@
     return int(float(values[0])) if values else 0
 
 
-async def soak(seed: int, seconds: float) -> list[str]:
+async def soak(seed: int, seconds: float, instances: int = INSTANCES_PER_DOMAIN) -> list[str]:
     """Run one seed and return what was found."""
     with tempfile.TemporaryDirectory() as directory:
-        run = Soak(seed, Path(directory))
+        run = Soak(seed, Path(directory), instances)
         try:
             findings = await run.run(seconds)
         finally:
@@ -443,10 +488,11 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=1, help="how many seeds from there on")
     parser.add_argument("--minutes", type=float, default=0.5, help="of faults, for each seed")
+    parser.add_argument("--instances", type=int, default=INSTANCES_PER_DOMAIN, help="by domain")
     options = parser.parse_args()
     found = 0
     for seed in range(options.seed, options.seed + options.seeds):
-        found += len(asyncio.run(soak(seed, options.minutes * 60)))
+        found += len(asyncio.run(soak(seed, options.minutes * 60, options.instances)))
     return 1 if found else 0
 
 
--- a/tests/support/limits.py
+++ b/tests/support/limits.py
@@ -21,7 +21,7 @@
     told_at: dict[tuple[str, str], float] = field(default_factory=dict)
     """When an instance passed on the first answer with a limit, by (server id, instance)."""
     excused: dict[str, list[tuple[float, float]]] = field(default_factory=dict)
-    """Times during which an instance does not count, by instance."""
+    """Times during which an instance or a server does not count, by name or id."""
 
     def note_reply(self, instance: str, headers: dict[str, str], at: float) -> None:
         """Record an answer that an instance passed on."""
@@ -33,9 +33,9 @@
         for key in [key for key in self.told_at if key[1] == instance]:
             del self.told_at[key]
 
-    def excuse(self, instance: str, start: float, end: float) -> None:
-        """Do not count what an instance sends in this time."""
-        self.excused.setdefault(instance, []).append((start, end))
+    def excuse(self, name: str, start: float, end: float) -> None:
+        """Do not count what an instance sends, or a server gets, in this time."""
+        self.excused.setdefault(name, []).append((start, end))
 
     def find(self, servers: Iterable[FakeServer]) -> list[str]:
         """One text for each request with which too many reached a server in the window before."""
@@ -58,7 +58,8 @@
         told_at = self.told_at.get((server.id, instance))
         if told_at is None or told_at > seen.at - TOLD_S:
             return False
-        return not any(start <= seen.at <= end for start, end in self.excused.get(instance, []))
+        spans = self.excused.get(instance, []) + self.excused.get(server.id, [])
+        return not any(start <= seen.at <= end for start, end in spans)
 
 
 def find_bound(server: FakeServer, at: float) -> float | None:
