Let a limit end although instances of several regions exchange it

Callers got fewer servers than there were: a server that had stopped naming a limit was asked no more often than before, for as long as requests came.

Cause: a report of another instance was dated by its age at the send, so that each message moved it forward by its own time on the way. With round trips of 70 ms between regions and some dozen messages a second, a limit stayed newer than every response that named none. On loopback the time on the way is near 0, and the test of limits that end passed.

A report is now dated as early as it may be, by the longest time of a message; one that replaces another keeps its own time.

--- a/papayalever/entry/permit_broker.py
+++ b/papayalever/entry/permit_broker.py
@@ -26,12 +26,12 @@
 from ..routing.owners import Owners
 from ..routing.permits import PermitDecision, PermitScheduler
 from ..routing.replication_tree import InstanceEntry
-from ..routing.server_limits import LimitReport, ServerLimits
+from ..routing.server_limits import MAX_TRANSIT_S, LimitReport, ServerLimits
 from ..routing.server_queue import PermitId, PermitRequest
 from ..routing.servers import Server, ServerTable
 from .clock import now
 
-REPLY_TIMEOUT_S = 0.35
+REPLY_TIMEOUT_S = MAX_TRANSIT_S
 """Two round trips between the farthest regions, one of them with a retransmission; an owner decides
 at once."""
 TICK_INTERVAL_S = 0.02
@@ -344,18 +344,23 @@
         self._schedule_decisions()
 
     def note_limit(self, server: Server, report: LimitReport) -> None:
-        """Record the limit that a response named, and decide waiting requests again."""
-        if not self._limits.note(server.entry, report):
+        """Record the limit that a response named."""
+        if self._limits.note(server.entry, report):
+            self._follow_limit(server)
+
+    def _note_reported_limit(self, server: Server, per_s: float, age_ms: int) -> None:
+        if age_ms == NO_REPORT:
             return
-        log.info("server limit changed", server=server.id, per_s=report.per_s)
+        limit_per_s = None if per_s == NO_LIMIT else per_s
+        if self._limits.note_from_peer(server.entry, limit_per_s, age_ms / 1000, now()):
+            self._follow_limit(server)
+
+    def _follow_limit(self, server: Server) -> None:
+        """Use a server's changed limit, also for the requests that wait."""
+        log.info("server limit changed", server=server.id, per_s=self._limits.find(server.entry))
         self._servers.note_limited(server, 0.0, now())
         self._schedule_decisions()
 
-    def _note_reported_limit(self, server: Server, per_s: float, age_ms: int) -> None:
-        if age_ms != NO_REPORT:
-            limit_per_s = None if per_s == NO_LIMIT else per_s
-            self.note_limit(server, LimitReport(limit_per_s, now() - age_ms / 1000))
-
     def _limit_fields(self, server: Server) -> tuple[float, int]:
         """What this instance knows of a server's limit, as message fields."""
         report = self._limits.find_report(server.entry)
--- a/papayalever/routing/server_limits.py
+++ b/papayalever/routing/server_limits.py
@@ -11,6 +11,8 @@
 REORDER_S = 1.0
 """How long a response may be on its way: for this long after a limit was named, only lower limits
 replace it, since a response without it may be an older one."""
+MAX_TRANSIT_S = 0.35
+"""Longest time of a message between instances; requests for permits wait as long for a reply."""
 FORGET_S = 60.0
 """How long the limit of a server that is no longer listed is kept, for when its entry returns."""
 
@@ -43,15 +45,25 @@
             if report.per_s is not None:
                 self._report_by_run[key] = report
             return report.per_s is not None
-        is_lower = report.per_s is not None and (known.per_s is None or report.per_s <= known.per_s)
-        if is_lower and report.seen_at > known.seen_at - REORDER_S:
-            seen_at = max(report.seen_at, known.seen_at)
-        elif report.seen_at >= known.seen_at + REORDER_S:
-            seen_at = report.seen_at
+        is_same = report.per_s == known.per_s
+        is_lower = report.per_s is not None and (known.per_s is None or report.per_s < known.per_s)
+        if is_same or is_lower:
+            is_newer = report.seen_at > known.seen_at - (REORDER_S if is_lower else 0.0)
         else:
-            return False
-        self._report_by_run[key] = LimitReport(report.per_s, seen_at)
-        return report.per_s != known.per_s
+            is_newer = report.seen_at >= known.seen_at + REORDER_S
+        if is_newer:
+            self._report_by_run[key] = report
+        return is_newer and not is_same
+
+    def note_from_peer(
+        self, server: ServerEntry, per_s: float | None, age_s: float, now: float
+    ) -> bool:
+        """Record what another instance knows, from a message that arrived now.
+
+        It is dated as early as it may be: if each message moved a report forward by its own time
+        on the way, instances that exchange it would renew a limit that has ended.
+        """
+        return self.note(server, LimitReport(per_s, now - age_s - MAX_TRANSIT_S))
 
     def find(self, server: ServerEntry) -> float | None:
         """Requests per second that a server takes, None if it has no limit."""
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -81,6 +81,47 @@
         self.assertIsNone(self.limits.find(self.server))
 
 
+class TestLimitReportsBetweenInstances(unittest.TestCase):
+    """Instances of several regions exchange reports with a server's owner, in virtual time."""
+
+    def setUp(self) -> None:
+        self.server = server_entry(1)
+        self.instances = [ServerLimits() for _ in range(22)]
+        self.rng = Random(SEED)
+
+    def exchange(self, begin: float, seconds: float, per_s: float, named: float | None) -> None:
+        """Permits are asked for at a rate; some responses arrive, all naming the same limit."""
+        owner, *others = self.instances
+        now = begin
+        while (now := now + self.rng.expovariate(per_s)) < begin + seconds:
+            asking, delay_s = self.rng.choice(others), self.rng.choice((0.001, 0.035, 0.08))
+            if self.rng.random() < 0.1:
+                asking.note(self.server, LimitReport(named, now))
+            self.report(asking, owner, now, delay_s)
+            self.report(owner, asking, now + delay_s, delay_s)
+
+    def report(
+        self, sender: ServerLimits, receiver: ServerLimits, at: float, delay_s: float
+    ) -> None:
+        known = sender.find_report(self.server)
+        if known:
+            age_s = int((at - known.seen_at) * 1000) / 1000
+            receiver.note_from_peer(self.server, known.per_s, age_s, at + delay_s)
+
+    def test_limit_that_ended_ends_everywhere_however_often_instances_exchange_it(self):
+        self.exchange(0.0, 20.0, 60.0, 2.0)
+        self.assertEqual([2.0] * 22, [item.find(self.server) for item in self.instances])
+        self.exchange(20.0, 6.0, 60.0, None)
+        self.assertEqual([None] * 22, [item.find(self.server) for item in self.instances])
+
+    def test_limit_in_force_stays_known_everywhere(self):
+        self.exchange(0.0, 10.0, 60.0, 2.0)
+        for step in range(20):
+            self.exchange(10.0 + step, 1.0, 60.0, 2.0 + 0.5 * (step % 2))
+            known = {item.find(self.server) for item in self.instances}
+            self.assertLessEqual(known, {2.0, 2.5})
+
+
 class TestRateLimiter(unittest.TestCase):
     """The owners of a server grant as much as they may, in virtual time."""
 
