Answer requests for a server with a limit of 0 at its second owner too

Callers got 502 "internal error" for requests whose server named a limit of 0 while its first owner was lost: the share of the second owner is 0 a second then, and the expected wait was a division by it. Limits near 0 gave waits of hours, which reach callers as Retry-After.

The wait is known for a share of 0, and at most the 10 s after which a server is asked again in any case. Both tests failed before (502; ZeroDivisionError and waits up to 1e18 s) and pass.

--- a/papayalever/routing/rate_limiter.py
+++ b/papayalever/routing/rate_limiter.py
@@ -82,17 +82,23 @@
         self._granted_at.append(now)
 
     def wait_s(self, ahead: int, now: float) -> float:
-        """Time until a request has room that ``ahead`` others precede."""
+        """Time until a request has room that ``ahead`` others precede.
+
+        At most `PROBE_INTERVAL_S`: by then the limit may have changed or another owner decides.
+        """
         if self.has_room(now) and not ahead:
             return 0.0
         if self.share == NO_SHARE:
             return FIRST_SUSPECT_S
+        if self.share.per_s == 0.0:
+            return PROBE_INTERVAL_S
         missing = max(0.0, 1.0 + ahead - self._tokens)
+        wait_s = missing / self.share.per_s
         excess = len(self._granted_at) + 1 + ahead - self._most
-        if excess <= 0:
-            return missing / self.share.per_s
-        last_to_expire = self._granted_at[min(len(self._granted_at), math.ceil(excess)) - 1]
-        return max(missing / self.share.per_s, last_to_expire + WINDOW_S - now)
+        if excess > 0:
+            last_to_expire = self._granted_at[min(len(self._granted_at), math.ceil(excess)) - 1]
+            wait_s = max(wait_s, last_to_expire + WINDOW_S - now)
+        return min(wait_s, PROBE_INTERVAL_S)
 
     @property
     def _most(self) -> float:
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -24,7 +24,7 @@
 from papayalever.entry.instance import EntryInstance
 from papayalever.entry.logs import JsonLogHandler
 from papayalever.routing.permits import PermitDecision, PermitScheduler
-from papayalever.routing.rate_limiter import RateLimiter, compute_share
+from papayalever.routing.rate_limiter import PROBE_INTERVAL_S, RateLimiter, compute_share
 from papayalever.routing.server_limits import FORGET_S, REORDER_S, LimitReport, ServerLimits
 from papayalever.routing.server_queue import PermitRequest
 from papayalever.routing.servers import Server
@@ -179,6 +179,15 @@
         self.assertFalse(limiter.has_room(WINDOW_S - 0.1))
         self.assertTrue(limiter.has_room(WINDOW_S + 2.0))
 
+    def test_wait_is_known_and_short_at_every_owner_of_any_limit(self):
+        for per_s in (0.0, 1e-17, 0.01, 0.4, 1e17):
+            for rank in (0, 1, 2, 3, None):
+                with self.subTest(per_s=per_s, rank=rank):
+                    limiter = RateLimiter(compute_share(per_s, rank), 0.0)
+                    for _ in range(3):
+                        limiter.note_grant(0.0)
+                    self.assertLessEqual(limiter.wait_s(2, 0.1), PROBE_INTERVAL_S)
+
     def test_limit_of_nothing_still_lets_a_request_through_at_times(self):
         self.grant_all([RateLimiter(compute_share(0.0, 0), 0.0)], 60.0)
         self.assertEqual(5, len(self.granted_at))
@@ -408,6 +417,18 @@
         self.assertLess(max(reply.took_s for reply in refused), 0.3)
         self.assertTrue(all(float(reply.headers["retry-after"]) > 0 for reply in refused))
 
+    async def test_request_for_a_server_that_takes_nothing_is_answered_by_its_second_owner(self):
+        await self.add_server("noord-a", "0")
+        await self.add_instances("noord-a", "noord-a", "noord-a")
+        await self.load(20.0).run(1.0)
+        for owner in self.instances[:2]:
+            await self.platform.kill(owner.settings.instance)
+        self.instances = self.instances[2:]
+        load = self.load(20.0)
+        await load.run(2.0)
+        self.assertEqual({503}, {reply.status for reply in load.replies})
+        self.assert_truthful(load)
+
     async def test_limit_that_appears_changes_and_ends_is_followed(self):
         server = await self.add_server("noord-a")
         await self.add_server("midden-a")
