Date a server's limit by the head of the response that names it

Callers saw nothing. A server in need got more than its limit: a download that began before the limit was named and ended later counted as the newer response, which named none, and ended the limit for all instances.

Cause: the time of a report was that of the end of the body. It is that of the head now. The test failed before (no limit known after the download's end) and passes.

--- a/papayalever/entry/connection.py
+++ b/papayalever/entry/connection.py
@@ -7,6 +7,7 @@
 
 import httptools
 
+from .clock import now
 from .framing import BodyMemory, FramingMeter
 from .messages import ServerResponse
 
@@ -69,6 +70,7 @@
         self._is_head_request = False
         self._headers: list[tuple[bytes, bytes]] = []
         self._reason = b""
+        self._head_at = 0.0
         self._body = bytearray()
         self._is_in_response = False
         self._is_body_open_ended = False
@@ -136,6 +138,7 @@
 
     def on_headers_complete(self) -> None:
         """Determine how the end of the response is marked."""
+        self._head_at = now()
         status = self._parser.get_status_code()
         names = {name for name, _ in self._headers}
         has_body = status >= 200 and status not in (204, 304)
@@ -169,7 +172,9 @@
             return
         if self._is_body_open_ended or not self._parser.should_keep_alive():
             self.is_usable = False
-        response = ServerResponse(status, self._reason, self._headers, bytes(self._body))
+        response = ServerResponse(
+            status, self._reason, self._headers, bytes(self._body), self._head_at
+        )
         waiter = self._waiter
         if waiter is None or waiter.done():
             return
--- a/papayalever/entry/exchange.py
+++ b/papayalever/entry/exchange.py
@@ -363,7 +363,8 @@
         is_end = kind == ResponseKind.SEALED and bad_value is None
         if response.limit_per_s is None and not is_end:
             return
-        self._permit_broker.note_limit(server, LimitReport(response.limit_per_s, now()))
+        report = LimitReport(response.limit_per_s, response.head_at)
+        self._permit_broker.note_limit(server, report)
 
     def _encode(self, server_id: str) -> bytes:
         adapter = self._shared.adapter
--- a/papayalever/entry/messages.py
+++ b/papayalever/entry/messages.py
@@ -72,6 +72,8 @@
     headers: list[tuple[bytes, bytes]]
     """Lower-case names."""
     body: bytes
+    head_at: float = 0.0
+    """When the head arrived, by the clock of the event loop."""
     request_id: bytes | None = None
     load: ServerLoad | None = None
     limit_per_s: float | None = None
--- a/papayalever/routing/server_limits.py
+++ b/papayalever/routing/server_limits.py
@@ -27,7 +27,7 @@
     per_s: float | None
     """Requests per second that it takes from all instances together; None if it named no limit."""
     seen_at: float
-    """When the response arrived."""
+    """When the head of the response arrived."""
 
 
 @dataclass(slots=True)
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -444,6 +444,44 @@
         after = [seen for seen in server.seen if seen.at > ended_at]
         self.assertGreater(len(after), 8)
 
+    async def test_limit_that_a_server_names_by_turns_holds_from_its_first_answer_on(self):
+        server = await self.add_server("noord-a", "0.4")
+        server.run_s = 0.3
+        await self.add_server("midden-a")
+        await self.add_instances("noord-a", "noord-b", "midden-a", "midden-a")
+        load = self.load(60.0)
+        running = asyncio.create_task(load.run(18.0))
+        for limit in ("", "0.4", ""):
+            await asyncio.sleep(4.5)
+            server.limit = limit
+        await running
+        self.assert_kept()
+        self.assertEqual(4, len(server.limit_changes))
+
+    async def test_response_whose_body_takes_long_does_not_end_a_limit_named_meanwhile(self):
+        server = await self.add_server("noord-a")
+        await self.add_instances("noord-a")
+        (instance,) = self.instances
+        answered = asyncio.Event()
+
+        async def answer_slowly(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            answer = sealed(seen, bytes(100), extra=server.name_limit())
+            writer.write(answer[:-50])
+            if seen.target == "/recording/1":
+                await answered.wait()
+            writer.write(answer[-50:])
+
+        server.behave = answer_slowly
+        slow = asyncio.create_task(self.platform.ask(instance, "/recording/1", key="1", id="slow"))
+        await self.platform.wait(lambda: server.seen, "the slow request runs")
+        server.limit = "0.5"
+        await self.platform.ask(instance, "/lookup/1", key="1")
+        await asyncio.sleep(1.5 * REORDER_S)
+        answered.set()
+        self.assertEqual(200, (await slow).status)
+        entry = instance.shared.servers.server_by_id[server.id].entry
+        self.assertEqual(0.5, instance.shared.limits.find(entry))
+
     async def test_repeats_of_failed_requests_keep_the_limit_of_other_servers(self):
         limited = [await self.add_server("noord-a", limit) for limit in ("1.5", "0.5")]
 
