--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -397,6 +397,18 @@
         # The limit itself is used: it allows 6, less what its first second leaves unused.
         self.assertGreaterEqual(len(limited.seen), 4)
 
+    async def test_work_beyond_the_limits_of_most_servers_goes_to_the_others(self):
+        for number in range(12):
+            await self.add_server(("noord-a", "noord-b")[number % 2], "0.3")
+        for domain in ("noord-a", "noord-b"):
+            await self.add_server(domain, slots=12)
+        await self.add_instances("noord-a", "noord-b")
+        load = self.load(30.0)
+        await load.run(8.0)
+        self.assert_kept()
+        served = sum(reply.status == 200 for reply in load.replies)
+        self.assertGreater(served, 0.98 * len(load.replies))
+
     async def test_instances_of_another_region_do_not_send_ahead_of_the_decision(self):
         await self.add_server("noord-a", "0.5")
         await self.add_server("noord-b")
