Send no request to a server late in a planned stop, also one that waited

What callers saw: a request that had waited for a server until late in the grace time, or whose first server failed then, was sent to a server and answered 504 at the end of the grace while that server was at work on it.

Cause: only requests that arrived late were refused; those that arrived before could be sent at any time. Now none is sent later than 3 s after SIGTERM: one that still waits is refused as not run with a Retry-After of 0.05 s at that moment, and nothing is repeated. Both tests failed before (three requests and one repeat reached servers late) and pass; 71 tests of the modules of reports, entry and stop pass.

--- a/papayalever/entry/exchange.py
+++ b/papayalever/entry/exchange.py
@@ -28,6 +28,7 @@
 from .permit_broker import Permit, PermitBroker, PermitSpec
 from .pool import CONNECT_TIMEOUT_S
 from .shared import SharedState, digest_request
+from .stopping import RETRY_AFTER_S, STOPPING, StopPlan
 
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 """Statuses from which a caller concludes that its request did not run."""
@@ -99,6 +100,10 @@
         self._deadline = request.arrived_at + min(deadline_s, route.timeout_s)
         self._scope: asyncio.Timeout | None = None
         """Ends the request at its deadline."""
+        self._send_until: float | None = None
+        """Set once the instance stops: nothing is sent to a server later."""
+        self._search_scope: asyncio.Timeout | None = None
+        """Ends the wait for a server at that time."""
         self._excluded_ids: set[str] = set()
         self._connect_failures = 0
         self._send_count = 0
@@ -140,19 +145,26 @@
         except TimeoutError:
             return self._final_response("out of time")
 
-    def end_by(self, at: float) -> None:
-        """Answer the request by this time, whatever became of it."""
-        if at >= self._deadline:
-            return
-        self._deadline = at
-        if self._scope and not self._scope.expired():
-            self._scope.reschedule(at)
+    def note_stop(self, plan: StopPlan) -> None:
+        """Answer the request within a shutdown, and send it to no server late in it."""
+        self._send_until = plan.forward_until
+        _reschedule(self._search_scope, plan.forward_until)
+        if plan.answer_by < self._deadline:
+            self._deadline = plan.answer_by
+            _reschedule(self._scope, plan.answer_by)
 
     async def _try_servers(self) -> Response:
         while True:
             if self._is_quarantined():
                 return self._final_response("the request crashed servers")
-            permit = await self._wait_for_permit()
+            try:
+                async with asyncio.timeout_at(self._send_until) as self._search_scope:
+                    permit = await self._wait_for_permit()
+            except TimeoutError:
+                self._retry_after_s = RETRY_AFTER_S
+                return self._final_response(STOPPING)
+            finally:
+                self._search_scope = None
             if permit is None and self._has_given_way:
                 return self._final_response("an urgent request waits behind it")
             if permit is None:
@@ -434,7 +446,12 @@
         """Whether the request may be retried on another server after an error response."""
         has_time = self._deadline - now() > self._route.target_latency_s * MIN_RETRY_TIME_SHARE
         is_allowed = self._route.is_idempotent and self._send_count < self._route.max_servers
-        return is_allowed and has_time and self._shared.budget(self.service).left(now()) >= 1
+        return (
+            is_allowed
+            and has_time
+            and not self._is_too_late_to_send()
+            and self._shared.budget(self.service).left(now()) >= 1
+        )
 
     def _note_failed(self, server: Server, error: SendError) -> str:
         servers = self._shared.servers
@@ -452,6 +469,7 @@
         if (
             self._deadline - now() < MIN_SEND_TIME_S
             or self._connect_failures >= MAX_CONNECT_FAILURES
+            or self._is_too_late_to_send()
         ):
             return False
         if self.trace.may_have_run and not self._route.is_idempotent:
@@ -460,6 +478,9 @@
             return False
         return not self._send_count or self._shared.budget(self.service).take(now())
 
+    def _is_too_late_to_send(self) -> bool:
+        return self._send_until is not None and now() >= self._send_until
+
     def _final_response(self, reason: str) -> Response:
         """The response to a request that no server completed successfully."""
         if self._error_response:
@@ -470,6 +491,11 @@
         return Response(status, [(b"Content-Type", b"text/plain")], b"no answer\n", reason)
 
 
+def _reschedule(scope: asyncio.Timeout | None, at: float) -> None:
+    if scope and not scope.expired():
+        scope.reschedule(at)
+
+
 def is_shed_with_room(reported: ServerLoad | None, known_load: int, slots: int) -> bool:
     """Whether a server refused a request although no request waits there.
 
--- a/papayalever/entry/instance.py
+++ b/papayalever/entry/instance.py
@@ -36,7 +36,7 @@
 from .settings import EntrySettings
 from .shared import HeaderAdapter, SharedState
 from .state_updates import INSTANCE_KIND, StateUpdater, StoreAdapter
-from .stopping import RETRY_AFTER_S, StopPlan, plan_stop
+from .stopping import RETRY_AFTER_S, STOPPING, StopPlan, plan_stop
 from .store_cache import StoreCache
 from .store_protocol import InstanceStore
 from .supervision import supervise
@@ -342,10 +342,10 @@
             return Response(404, [], b"no route\n", "no route")
         plan = self._stop_plan
         if plan and now() >= plan.forward_until:
-            return refuse(shared, "the instance stops", RETRY_AFTER_S)
+            return refuse(shared, STOPPING, RETRY_AFTER_S)
         exchange = Exchange(shared, self.permit_broker, self._placement, request, meta, route)
         if plan:
-            exchange.end_by(plan.answer_by)
+            exchange.note_stop(plan)
         return exchange
 
     def _log_response(
@@ -431,7 +431,7 @@
         """Accept new connections for a while, then finish pending requests until the time limit."""
         plan = self._stop_plan = plan_stop(self.settings.bounds.stop_s, now())
         for exchange in self._exchanges:
-            exchange.end_by(plan.answer_by)
+            exchange.note_stop(plan)
         self.is_leaving = self.follower.is_leaving = True
         log.info("leaving", open_connections=len(self._callers))
         for connection in list(self._callers):
--- a/papayalever/entry/stopping.py
+++ b/papayalever/entry/stopping.py
@@ -10,11 +10,13 @@
 """Time reserved before that for the last answers to reach callers in other regions."""
 MAX_FORWARD_S = 3.0
 """How long after SIGTERM requests are sent to servers. Only these may outlast the grace time by the
-users' rules."""
+users' rules. A request that still waits for a server then finds one through another instance."""
 MAX_FORWARD_SHARE = 0.5
 """The same as a share of a short grace time."""
+STOPPING = "the instance stops"
+"""Reason of the refusals that follow."""
 RETRY_AFTER_S = 0.05
-"""Retry-After of a request that came later: other instances accept it at once."""
+"""Retry-After of a request that was not sent by then: other instances accept it at once."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,6 +25,7 @@
 
     accept_until: float
     forward_until: float
+    """When the last request is sent to a server."""
     answer_by: float
     """When every request has an answer."""
     close_by: float
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -185,3 +185,39 @@
         for name, status in statuses.items():
             self.assertEqual(504 if name in arrived else 503, status)
         self.assertIn(503, statuses.values())
+
+    async def test_request_that_waits_too_long_for_a_server_is_not_passed_on_late(self):
+        self.server.run_s, entry = 2.2, self.server.entry(max_concurrency=1)
+        self.platform.store.put("servers", self.server.id, entry)
+        listed = self.instance.shared.servers.server_by_id
+        await self.platform.wait(lambda: listed[self.server.id].entry.slots == 1, "one slot")
+        callers = [await Caller.connect(self.instance.settings.caller_listener) for _ in range(4)]
+        for number, caller in enumerate(callers):
+            caller.send("/signoff/1", f"s{number}", method="POST", body=b"x", deadline_ms=30_000)
+        await asyncio.sleep(0.2)
+        sent_in_time = self.arrived()
+        self.instance.request_stop()
+        statuses = {f"s{number}": (await item.read()).status for number, item in enumerate(callers)}
+        self.assertEqual(sent_in_time, self.arrived())
+        for name, status in statuses.items():
+            self.assertEqual(200 if name in sent_in_time else 503, status)
+
+    async def test_request_that_fails_late_is_not_repeated(self):
+        async def fail(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            await asyncio.sleep(2.0)
+            writer.write(sealed(seen, b"failed", "500 Internal Server Error"))
+
+        short = {"target_latency_ms": 600, "timeout_ms": 9000}
+        self.platform.store.put("config", "main", configuration(5, lookup=short))
+        await self.platform.wait(lambda: self.instance.shared.routes.version == 5, "version 5")
+        await self.platform.add_server(behave=fail, slots=20)
+        self.server.behave = fail
+        servers = self.instance.shared.servers.server_by_id
+        await self.platform.wait(lambda: len(servers) == 2, "two servers")
+        caller = await Caller.connect(self.instance.settings.caller_listener)
+        caller.send("/lookup/1", "failing", key="1", deadline_ms=9000)
+        await asyncio.sleep(0.1)
+        self.instance.request_stop()
+        self.assertEqual(500, (await caller.read()).status)
+        arrived = [seen.id for item in self.platform.server_by_id.values() for seen in item.seen]
+        self.assertEqual(["failing"], arrived)
