Share the retry budget among 700 instances until the others are known

An instance that has servers and a configuration but no list of instances yet took a 24th of the extra retries, which was the size of the largest deployment once; 195 of them could send 2,730 retries of 430 allowed, and keep eight times their idle connections. It is the size that the project is built for now.

--- a/papayalever/entry/shared.py
+++ b/papayalever/entry/shared.py
@@ -15,6 +15,10 @@
 from .pool import ConnectionPool, max_idle_per_instance
 from .settings import Bounds
 
+UNKNOWN_INSTANCES = 700
+"""Assumed number of instances until they are known: that of the largest deployment that the
+project is built for, so that all of them together stay within their bounds."""
+
 
 @dataclass(frozen=True, slots=True)
 class HeaderAdapter:
@@ -43,11 +47,8 @@
     metrics: EntryMetrics
     body_memory: BodyMemory
     budget_by_service: dict[str, WindowedRetryBudget] = field(default_factory=dict)
-    instances: int = 24
-    """Entry instances that share the retry budget and the connections to each backend server.
-
-    Starts with the size of the largest deployment, until the instances are known.
-    """
+    instances: int = UNKNOWN_INSTANCES
+    """Entry instances that share the retry budget and the connections to each backend server."""
 
     def budget(self, service: str) -> WindowedRetryBudget:
         """Retry budget of a service."""
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -11,6 +11,7 @@
 from papayalever.cluster.codec import MAX_UNPACKED_BYTES, pack_changes, unpack_changes
 from papayalever.cluster.exceptions import CodecError
 from papayalever.cluster.messages import ACCEPTS_PACKED, KindUpdate, PermitState
+from papayalever.entry.shared import UNKNOWN_INSTANCES
 from papayalever.entry.store_cache import MAX_HISTORY, StoreCache
 from papayalever.routing.owners import FIRST_SUSPECT_S, Owners
 from papayalever.routing.permits import PermitScheduler
@@ -549,6 +550,14 @@
             self.assertLessEqual(count, allowed)
         self.assertGreater(len(repeats), 1000)
 
+    def test_instances_that_do_not_know_each_other_yet_stay_within_the_bound(self):
+        for instances in (22, 195, 700):
+            budgets = [
+                WindowedRetryBudget(0.2, 430.0, 10.0, UNKNOWN_INSTANCES) for _ in range(instances)
+            ]
+            taken = sum(budget.take(0.0) for budget in budgets for _ in range(20))
+            self.assertLessEqual(taken, 430)
+
 
 class TestStoreCopy(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
