Test limits while instances fall into groups that do not reach each other

Six instances in three groups for 8 s, then two, servers with limits of 1.2 and 6 a second, 100 requests a second.

--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -568,6 +568,38 @@
         self.assert_kept()
         self.assert_truthful(load)
 
+    async def test_limits_hold_while_instances_fall_into_groups_that_do_not_reach_each_other(self):
+        fast = await self.add_server("noord-b", "6", slots=12)
+        rng = Random(SEED)
+        group_by_address: dict[str, int] = {}
+
+        def separate(instance: EntryInstance) -> None:
+            original = instance._links.request
+
+            async def request(address, message, timeout_s):
+                own = instance._tree.own.peer_address
+                if group_by_address.get(own) != group_by_address.get(address):
+                    raise PeerUnreachableError("cut")
+                return await original(address, message, timeout_s)
+
+            self.enterContext(patch.object(instance._links, "request", request))
+
+        for instance in self.instances:
+            separate(instance)
+        load = self.load(100.0)
+        running = asyncio.create_task(load.run(20.0))
+        await asyncio.sleep(4.0)
+        for groups, seconds in ((3, 8.0), (1, 1.0), (2, 6.0)):
+            numbers = [number % groups for number in range(len(self.instances))]
+            rng.shuffle(numbers)
+            for instance, number in zip(self.instances, numbers, strict=True):
+                group_by_address[instance._tree.own.peer_address] = number
+            await asyncio.sleep(seconds)
+        await running
+        self.assert_kept()
+        self.assert_truthful(load)
+        self.assertTrue(fast.seen)
+
     async def test_cold_server_gets_its_rate_while_no_instance_reaches_another(self):
         cold = await self.add_server("noord-b")
         entry = cold.entry(warmup_left_ms=20_000)
