Start a program of the soak once only when signals overlap

A fault starts its program again only if no other did, all that were started are ended, and a program that runs twice is a finding.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -9,7 +9,7 @@
 import sys
 import tempfile
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
 
@@ -53,6 +53,8 @@
     settings: Path
     log: Path
     process: subprocess.Popen | None = None
+    processes: list[subprocess.Popen] = field(default_factory=list)
+    """All that were started; the last one is `process`."""
     disturbed_at: float = 0.0
     must_answer: bool = True
     """Whether it ends no connection without an answer, since it was not killed or paused."""
@@ -65,6 +67,7 @@
                 stdout=log,
                 stderr=log,
             )
+        self.processes.append(self.process)
 
     @property
     def is_running(self) -> bool:
@@ -280,17 +283,18 @@
         self.limits.excuse(program.name, self.now(), self.now() + for_s + CONTACT_S)
 
     async def restart(self, program: Program, most_s: float = 2.0) -> None:
-        end = self.now() + most_s
-        while program.is_running and self.now() < end:
+        end, process = self.now() + most_s, program.process
+        while process.poll() is None and self.now() < end:
             await asyncio.sleep(0.05)
-        if program.is_running:
+        if process.poll() is None:
             self.ledger.find(self.now(), f"{program.name} still runs {most_s} s after its signal")
             program.must_answer = False
-            program.process.kill()
-        program.process.wait()
+            process.kill()
+            process.wait()
         self.limits.forget(program.name)
         await asyncio.sleep(self.rng.uniform(0.1, 1.0))
-        if not self.is_over:
+        # Signals overlap: another one may have started it again.
+        if program.process is process and not self.is_over:
             program.start()
             program.must_answer = True
             program.disturbed_at = max(program.disturbed_at, self.now())
@@ -409,6 +413,9 @@
         await self.check_configuration()
         self.is_over = True
         await asyncio.gather(*callers)
+        for program in self.programs:
+            if any(process.poll() is None for process in program.processes[:-1]):
+                self.ledger.find(self.now(), f"{program.name} runs twice")
         return self.ledger.findings + self.limits.find(self.server_by_id.values())
 
     async def check_configuration(self) -> None:
@@ -423,11 +430,11 @@
             self.ledger.find(self.now(), f"{program.name} lacks configuration {self.version}")
 
     async def stop(self) -> None:
-        for program in self.programs:
-            if program.process:
-                program.process.send_signal(signal.SIGCONT)
-                program.process.kill()
-                program.process.wait()
+        for process in itertools.chain.from_iterable(item.processes for item in self.programs):
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+                process.wait()
         for proxy in [self.store_proxy, *self.proxy_by_id.values()]:
             await proxy.stop()
         for server in self.server_by_id.values():
