Give the few requests that a limit allows to objects that the server has

Cause found there: a request that its own limited server had no room for went to the next server as if that were its own. Where that one named a limit too, it spent it on an object that it had to load, was late and cost the next request its room.

Now only servers without a limit take over the objects like their own; one with a limit is asked as a fallback server, and accepts an object that it has, or any if its limit went unused. The new test of all servers failed before (149 in time, more than 240 wanted) and passes.

--- a/papayalever/entry/exchange.py
+++ b/papayalever/entry/exchange.py
@@ -204,39 +204,36 @@
         started = now()
         try:
             for _ in range(MAX_SELECTIONS):
-                candidates = self._candidates()
-                if not candidates:
+                first, fallbacks = self._candidates()
+                if first is None:
                     self._note_limited_servers()
-                    return None
-                permit = await self._ask_candidates(candidates)
-                if permit or self._is_usable(candidates[0]):
+                    return await self._ask_fallbacks(fallbacks)
+                permit = await self._ask_candidates(first, fallbacks)
+                if permit or self._is_usable(first):
                     return permit
             return None
         finally:
             self.trace.waited_s += now() - started
 
-    async def _ask_candidates(self, candidates: list[Server]) -> Permit | None:
-        """Get a permit at the object's own server, or at a fallback server with spare capacity."""
-
-        async def find_fallback() -> Permit | None:
-            for server in candidates[1:]:
-                permit = await self._permit_broker.acquire(
-                    server, self._permit_spec(is_fallback=True)
-                )
-                if isinstance(permit, Permit):
-                    return permit
-                self._note_refusal(server, permit)
-            return None
-
+    async def _ask_candidates(self, first: Server, fallbacks: list[Server]) -> Permit | None:
+        """Get a permit at the first server, or at a fallback server with spare capacity."""
         permit = await self._permit_broker.acquire(
-            candidates[0], self._permit_spec(), find_fallback
+            first, self._permit_spec(), lambda: self._ask_fallbacks(fallbacks)
         )
         if isinstance(permit, Permit):
             return permit
-        self._note_refusal(candidates[0], permit)
+        self._note_refusal(first, permit)
         self._retry_after_s = max(MIN_RETRY_AFTER_S, permit.wait_s)
-        if self._is_usable(candidates[0]):
-            return await find_fallback()
+        if self._is_usable(first):
+            return await self._ask_fallbacks(fallbacks)
+        return None
+
+    async def _ask_fallbacks(self, fallbacks: list[Server]) -> Permit | None:
+        for server in fallbacks:
+            permit = await self._permit_broker.acquire(server, self._permit_spec(is_fallback=True))
+            if isinstance(permit, Permit):
+                return permit
+            self._note_refusal(server, permit)
         return None
 
     def _note_refusal(self, server: Server, decision: PermitDecision) -> None:
@@ -269,16 +266,27 @@
             is_fallback=is_fallback,
         )
 
-    def _candidates(self) -> list[Server]:
-        """The first available servers in the object's order of preference."""
+    def _candidates(self) -> tuple[Server | None, list[Server]]:
+        """The server to ask first and the fallback servers, in the object's order of preference.
+
+        Load pattern: servers name limits that are used up. A server without a limit takes over
+        their objects like its own. One with a limit does not, since it would spend its few requests
+        on objects that it has to load, and its own would be refused: it is a fallback server only.
+        """
         claim = PlacementKey(self.service, self.object_key, self._route.regions)
-        at = now()
+        at, limits = now(), self._shared.limits
         usable = (
             server
             for server in self._placement.order(claim, time.time())
             if server.id not in self._excluded_ids and server.is_available(at)
         )
-        return list(itertools.islice(usable, 1 + MAX_FALLBACKS))
+        own = next(usable, None)
+        with_room = (server for server in usable if server.has_limit_room(at))
+        if own is None or own.has_limit_room(at):
+            return own, list(itertools.islice(with_room, MAX_FALLBACKS))
+        others = list(with_room)
+        first = next((item for item in others if limits.find(item.entry) is None), None)
+        return first, [item for item in others if item is not first][:MAX_FALLBACKS]
 
     def _find_key(self) -> str:
         if self._route.has_affinity and self._meta.object_key:
--- a/papayalever/routing/permits.py
+++ b/papayalever/routing/permits.py
@@ -74,8 +74,7 @@
         if queue.limiter and queue.limiter.share == NO_SHARE:
             return _refuse(queue, request, now)
         if request.is_fallback:
-            is_cached = queue.objects.has(request.object_key)
-            may_serve = is_cached or queue.in_use(now) < server.entry.slots * MAX_FALLBACK_LOAD
+            may_serve = queue.objects.has(request.object_key) or self._has_spare_room(queue, now)
             if queue.waiting_by_id or not may_serve or not self._has_room(queue, request, now):
                 return _refuse(queue, request, now)
             return self._grant(queue, request, now)
@@ -203,6 +202,12 @@
         queue.cold_granted_at = [at for at in queue.cold_granted_at if at > now - 1.0]
         return len(queue.cold_granted_at) < max(1, int(share.per_s))
 
+    def _has_spare_room(self, queue: ServerQueue, now: float) -> bool:
+        """Whether a server has room for objects that it has to load for others."""
+        if queue.limiter and not queue.limiter.is_unused(now):
+            return False
+        return queue.in_use(now) < queue.server.entry.slots * MAX_FALLBACK_LOAD
+
     def _is_first(self, queue: ServerQueue, request: PermitRequest, now: float) -> bool:
         """Whether the request precedes all queued ones."""
         own_key = queue.sort_key(request, now, 0)
--- a/papayalever/routing/rate_limiter.py
+++ b/papayalever/routing/rate_limiter.py
@@ -74,6 +74,11 @@
             self._granted_at.popleft()
         return self._tokens >= 1.0 and len(self._granted_at) + 1 <= self._most
 
+    def is_unused(self, now: float) -> bool:
+        """Whether nobody has used the whole share for a while."""
+        self._refill(now)
+        return self._tokens >= self.share.burst
+
     def note_grant(self, now: float) -> None:
         """Count a request, also one that was sent without asking."""
         self._refill(now)
--- a/papayalever/routing/servers.py
+++ b/papayalever/routing/servers.py
@@ -84,9 +84,12 @@
         )
 
     def is_available(self, now: float) -> bool:
-        """Whether it is ready, not ejected for failures and has room within its limit."""
-        usable_from = max(self.ejected_until, self.limited_until)
-        return self.entry.phase == Phase.READY and now >= usable_from
+        """Whether it is ready and not ejected for failures."""
+        return self.entry.phase == Phase.READY and now >= self.ejected_until
+
+    def has_limit_room(self, now: float) -> bool:
+        """Whether the limit that it named, if any, leaves room as far as known."""
+        return now >= self.limited_until
 
     def is_cold(self, now: float) -> bool:
         """Whether it is cold, so that a surge of requests would crash it."""
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -32,6 +32,7 @@
 
 from .support.limits import OVER, SLACK, WINDOW_S, LimitCheck
 from .support.platform import Caller, FakeServer, Platform, Reply, Seen, refusal, sealed
+from .support.virtual import VirtualFleet, regions_of_schakelboek, run_virtually
 from .test_decisions import server_entry
 
 OBJECTS = 40
@@ -251,6 +252,45 @@
         self.assertEqual(PermitState.GRANTED, decision.state)
 
 
+class TestFleetOfLimitedServers(unittest.TestCase):
+    """22 instances and 20 servers in three regions, in virtual time."""
+
+    def play(self, limited: int) -> VirtualFleet:
+        async def play_in_loop() -> VirtualFleet:
+            fleet = VirtualFleet(22, 20, SEED)
+            running = asyncio.create_task(fleet.call(107.0, 45.0, 200))
+            await asyncio.sleep(15.0)
+            for server in fleet.servers[:limited]:
+                server.limit = "2"
+            await asyncio.sleep(20.0)
+            for server in fleet.servers:
+                server.limit = ""
+            await running
+            return fleet
+
+        with logbook.NullHandler().applicationbound(), regions_of_schakelboek():
+            fleet = run_virtually(play_in_loop())
+        self.assertEqual([], fleet.check.find(fleet.servers)[:3])
+        return fleet
+
+    def test_few_limited_servers_cost_no_request_and_get_their_work_back(self):
+        fleet = self.play(2)
+        replies = [reply for reply in fleet.replies if reply.sent_at > 5.0]
+        served = sum(reply.status == 200 for reply in replies)
+        self.assertGreater(served, 0.99 * len(replies))
+        for server in fleet.servers[:2]:
+            after = sum(seen.at > 40.0 for seen in server.seen)
+            self.assertGreater(after, 2 * 2.0 * 5.0)
+
+    def test_limits_of_all_servers_are_used_for_requests_that_are_in_time(self):
+        fleet = self.play(20)
+        replies = [reply for reply in fleet.replies if 20.0 < reply.sent_at < 35.0]
+        served = [reply for reply in replies if reply.status == 200]
+        allowed = 20 * 2.0 * 15.0
+        in_time = sum(reply.took_s <= 0.55 for reply in served)
+        self.assertGreater(in_time, 0.4 * allowed)
+
+
 class TestLimitLogs(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         directory = self.enterContext(tempfile.TemporaryDirectory())
