Use a limit in full from the first window after it was named

Callers were refused for up to 9 s after servers had named limits although the limits had room: requests that were under way without a permit counted twice, as a debt of tokens and in the count of the last 4 s, so that the servers got 1.1 a second of 2 allowed from 5 s to 10 s after the limit was named.

The count alone keeps the rule; tokens only space the requests and do not fall below 0 any more. The test of all servers now wants 0.9 of what they allow to be used: it failed before (496 requests, more than 540 wanted) and passes. 106 tests of the modules of limits, decisions, desk, overload and reports passed on this tree.

--- a/papayalever/routing/rate_limiter.py
+++ b/papayalever/routing/rate_limiter.py
@@ -82,8 +82,7 @@
     def note_grant(self, now: float) -> None:
         """Count a request, also one that was sent without asking."""
         self._refill(now)
-        longest_debt = 1.0 + self.share.per_s * WINDOW_S
-        self._tokens = max(self._tokens - 1.0, -longest_debt)
+        self._tokens = max(self._tokens - 1.0, 0.0)
         self._granted_at.append(now)
 
     def wait_s(self, ahead: int, now: float) -> float:
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -287,6 +287,7 @@
         replies = [reply for reply in fleet.replies if 20.0 < reply.sent_at < 35.0]
         served = [reply for reply in replies if reply.status == 200]
         allowed = 20 * 2.0 * 15.0
+        self.assertGreater(len(served), 0.9 * allowed)
         in_time = sum(reply.took_s <= 0.55 for reply in served)
         self.assertGreater(in_time, 0.4 * allowed)
 
