Tell requests their wait at a server whose limit was not used lately

Callers got no decision or 502: with limits below one a second, or at a second owner, three requests in the queue of a server that had granted none in the last 4 s were an IndexError. It ended the decisions about the requests of all other servers of that owner in the same turn, and its timer, so that these waited until a request ended somewhere or their latency target was over.

Cause: the wait was read from the oldest grants of the window, which was empty. The test of waits now has empty windows and up to 20 requests ahead; both failed before and pass.

--- a/papayalever/routing/rate_limiter.py
+++ b/papayalever/routing/rate_limiter.py
@@ -99,7 +99,7 @@
         missing = max(0.0, 1.0 + ahead - self._tokens)
         wait_s = missing / self.share.per_s
         excess = len(self._granted_at) + 1 + ahead - self._most
-        if excess > 0:
+        if excess > 0 and self._granted_at:
             last_to_expire = self._granted_at[min(len(self._granted_at), math.ceil(excess)) - 1]
             wait_s = max(wait_s, last_to_expire + WINDOW_S - now)
         return min(wait_s, PROBE_INTERVAL_S)
--- a/tests/support/virtual.py
+++ b/tests/support/virtual.py
@@ -16,7 +16,7 @@
 
 import msgspec
 
-from papayalever.cluster.exceptions import PeerTimeoutError
+from papayalever.cluster.exceptions import PeerTimeoutError, PeerUnreachableError
 from papayalever.cluster.messages import KindUpdate
 from papayalever.entry.instance import EntryInstance
 from papayalever.entry.messages import CallerRequest, Response, ServerResponse
@@ -173,7 +173,7 @@
     own: EntryInstance
 
     async def request(self, address: str, message: Any, timeout_s: float) -> Any:
-        other = self.fleet.instance_by_address[address]
+        other = self._find(address)
         delay_s = self._delay_s(other)
         try:
             async with asyncio.timeout(timeout_s):
@@ -187,10 +187,18 @@
         return reply
 
     async def notify(self, address: str, message: Any, timeout_s: float) -> None:
-        other = self.fleet.instance_by_address[address]
+        other = self._find(address)
         await asyncio.sleep(self._delay_s(other))
         other._handle_peer(message)
 
+    def _find(self, address: str) -> EntryInstance:
+        other = self.fleet.instance_by_address[address]
+        group_by_name = self.fleet.group_by_name
+        own_name, name = self.own.settings.instance, other.settings.instance
+        if group_by_name.get(own_name) != group_by_name.get(name):
+            raise PeerUnreachableError("cut")
+        return other
+
     def _delay_s(self, other: EntryInstance) -> float:
         return find_delay(self.own.settings.failure_domain, other.settings.failure_domain)
 
@@ -218,6 +226,8 @@
         self.instance_by_address = {
             item.permit_broker._own.peer_address: item for item in self.instances
         }
+        self.group_by_name: dict[str, int] = {}
+        """Instances of different groups do not reach each other."""
         self.replies: list[VirtualReply] = []
         self.refusals: Counter[str] = Counter()
         self.check = LimitCheck()
@@ -244,6 +254,13 @@
             for kind, values in values_by_kind.items():
                 instance.cache.apply(KindUpdate(kind, 1, True, values))
 
+    def separate(self, groups: int) -> None:
+        """Divide the instances into groups by chance."""
+        numbers = [number % groups for number in range(len(self.instances))]
+        self.rng.shuffle(numbers)
+        names = (instance.settings.instance for instance in self.instances)
+        self.group_by_name = dict(zip(names, numbers, strict=True))
+
     async def call(self, per_s: float, seconds: float, objects: int) -> None:
         """Callers send requests; each comes back once after a refusal."""
         loop = asyncio.get_running_loop()
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -183,11 +183,12 @@
     def test_wait_is_known_and_short_at_every_owner_of_any_limit(self):
         for per_s in (0.0, 1e-17, 0.01, 0.4, 1e17):
             for rank in (0, 1, 2, 3, None):
-                with self.subTest(per_s=per_s, rank=rank):
-                    limiter = RateLimiter(compute_share(per_s, rank), 0.0)
-                    for _ in range(3):
-                        limiter.note_grant(0.0)
-                    self.assertLessEqual(limiter.wait_s(2, 0.1), PROBE_INTERVAL_S)
+                for grants, ahead in itertools.product((0, 3), (0, 2, 20)):
+                    with self.subTest(per_s=per_s, rank=rank, grants=grants, ahead=ahead):
+                        limiter = RateLimiter(compute_share(per_s, rank), 0.0)
+                        for _ in range(grants):
+                            limiter.note_grant(0.0)
+                        self.assertLessEqual(limiter.wait_s(ahead, 0.1), PROBE_INTERVAL_S)
 
     def test_limit_of_nothing_still_lets_a_request_through_at_times(self):
         self.grant_all([RateLimiter(compute_share(0.0, 0), 0.0)], 60.0)
@@ -291,6 +292,24 @@
         in_time = sum(reply.took_s <= 0.55 for reply in served)
         self.assertGreater(in_time, 0.4 * allowed)
 
+    def test_limits_hold_while_instances_fall_into_groups(self):
+        async def play(seed: int) -> VirtualFleet:
+            fleet = VirtualFleet(22, 12, seed)
+            for number, server in enumerate(fleet.servers[:9]):
+                server.limit = ("0.3", "1.7", "6")[number % 3]
+            running = asyncio.create_task(fleet.call(90.0, 60.0, 100))
+            for groups in (1, 5, 2, 22, 1, 3, 8):
+                fleet.separate(groups)
+                await asyncio.sleep(fleet.rng.uniform(4.0, 10.0))
+            await running
+            return fleet
+
+        for seed in range(2):
+            with self.subTest(seed=seed), logbook.NullHandler().applicationbound():
+                with regions_of_schakelboek():
+                    fleet = run_virtually(play(seed))
+                self.assertEqual([], fleet.check.find(fleet.servers)[:3])
+
 
 class TestLimitLogs(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
