Go on deciding about waiting requests after an unexpected error

Callers were refused late: an error in one decision ended the timer that decides about all requests that wait for time to pass, as for the room of a limit, until the next request came to wait. The timer is set before the decisions now. The test failed before (503 for the request that waited) and passes.

--- a/papayalever/entry/permit_broker.py
+++ b/papayalever/entry/permit_broker.py
@@ -412,9 +412,9 @@
 
     def _tick(self) -> None:
         self._tick_timer = None
-        self._decide_waiting()
         if self._waiter_by_id:
             self._start_timer()
+        self._decide_waiting()
 
 
 def log_health(server: Server, health: ServerHealth) -> None:
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -555,6 +555,29 @@
         entry = instance.shared.servers.server_by_id[server.id].entry
         self.assertEqual(0.5, instance.shared.limits.find(entry))
 
+    async def test_unexpected_error_does_not_end_the_decisions_about_waiting_requests(self):
+        await self.add_server("noord-a", "4")
+        await self.add_instances("noord-a")
+        (instance,) = self.instances
+        await self.platform.ask(instance, "/lookup/1", key="1")
+        scheduler, errors = PermitScheduler, [RuntimeError("once")]
+        original = scheduler.decide_queued
+
+        def decide_queued(self: PermitScheduler, now: float) -> list:
+            if errors:
+                raise errors.pop()
+            return original(self, now)
+
+        self.enterContext(patch.object(scheduler, "decide_queued", decide_queued))
+        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+        await asyncio.sleep(0.1)
+        replies = [
+            await self.platform.ask(instance, "/lookup/1", id=f"w{number}", key="1")
+            for number in range(2)
+        ]
+        self.assertEqual([], errors)
+        self.assertEqual([200, 200], [reply.status for reply in replies])
+
     async def test_repeats_of_failed_requests_keep_the_limit_of_other_servers(self):
         limited = [await self.add_server("noord-a", limit) for limit in ("1.5", "0.5")]
 
