--- a/papayalever/entry/exchange.py
+++ b/papayalever/entry/exchange.py
@@ -243,7 +243,7 @@
 
     def _is_usable(self, server: Server) -> bool:
         """Whether a selected server did not leave meanwhile and has room within its limit."""
-        return self._shared.servers.may_send(server) and now() >= server.limited_until
+        return self._shared.servers.may_send(server) and server.has_limit_room(now())
 
     def _note_limited_servers(self) -> None:
         """Let the caller come back when the first server has room within its limit."""
