Test that a limit holds while its owner has no state, and reword comments

An owner whose server table is empty lets the asking instance decide alone; that path had no test for a server with a limit.

--- a/papayalever/cluster/messages.py
+++ b/papayalever/cluster/messages.py
@@ -12,7 +12,7 @@
 NO_LIMIT = -1.0
 """Rate of a backend server that names no limit."""
 NO_REPORT = -1
-"""Age of a limit that the sender knows nothing about."""
+"""Age of an unknown limit."""
 
 
 class MemberState(StrEnum):
@@ -383,7 +383,7 @@
     is_already_sent: bool
     """Whether the request has been sent already; the reply then informs about the next request."""
     limit_per_s: float = NO_LIMIT
-    """Limit that the server last named, in requests per second, as far as the sender knows."""
+    """Last known limit of the server, in requests per second."""
     limit_age_ms: int = NO_REPORT
     """Time since the sender learned it."""
 
--- a/papayalever/entry/exchange.py
+++ b/papayalever/entry/exchange.py
@@ -335,7 +335,7 @@
         shared = self._shared
         entry = server.entry
         # A copy of a refusal bears the id of this request too, so that only another connection
-        # tells it from the response to the next send.
+        # distinguishes it from the response to the next send.
         connection = await shared.pool.acquire(
             entry, not self._route.is_idempotent, self._used_connections
         )
--- a/papayalever/entry/permit_broker.py
+++ b/papayalever/entry/permit_broker.py
@@ -362,7 +362,7 @@
         self._schedule_decisions()
 
     def _limit_fields(self, server: Server) -> tuple[float, int]:
-        """What this instance knows of a server's limit, as message fields."""
+        """The last known limit of a server, as message fields."""
         report = self._limits.find_report(server.entry)
         if report is None:
             return (NO_LIMIT, NO_REPORT)
--- a/papayalever/platform/wire.py
+++ b/papayalever/platform/wire.py
@@ -50,7 +50,7 @@
 
 
 def read_response(response: ServerResponse) -> ResponseKind:
-    """Tell whether the backend server ran the request; fills in the response's other fields."""
+    """Return whether the backend server ran the request; fills in the other fields."""
     is_sealed = is_not_executed = False
     for name, value in response.headers:
         if name == REQUEST_ID:
--- a/papayalever/routing/server_limits.py
+++ b/papayalever/routing/server_limits.py
@@ -58,7 +58,7 @@
     def note_from_peer(
         self, server: ServerEntry, per_s: float | None, age_s: float, now: float
     ) -> bool:
-        """Record what another instance knows, from a message that arrived now.
+        """Record the report of another instance, from a message that arrived now.
 
         It is dated as early as it may be: if each message moved a report forward by its own time
         on the way, instances that exchange it would renew a limit that has ended.
--- a/tests/test_limited_servers.py
+++ b/tests/test_limited_servers.py
@@ -385,6 +385,16 @@
         await load.run(8.0)
         self.assert_kept()
 
+    async def test_limit_holds_while_its_owner_has_no_state(self):
+        load = self.load(60.0)
+        await load.run(3.0)
+        owner = self.find_owner(self.server)
+        owner.shared.servers.server_by_id.clear()
+        self.instances.remove(owner)
+        await load.run(6.0)
+        self.assert_kept()
+        self.assert_truthful(load)
+
     async def test_owner_that_starts_again_is_told_the_limit_by_the_others(self):
         load = self.load(60.0)
         await load.run(3.0)
