Log from whom a configuration came and how old the contact behind it was

Nobody could say from the logs why one of 120 instances still refused a route: a version's line did not name its sender, and a 404 not the age of the view. Updates carry their origin to the log lines; a 404 names the origin of the view and its age; the age is a metric. No decision uses it.

--- a/papayalever/entry/follower.py
+++ b/papayalever/entry/follower.py
@@ -19,7 +19,7 @@
 )
 from ..routing.replication_tree import InstanceEntry, ReplicationTree
 from .clock import now
-from .store_cache import StoreCache
+from .store_cache import STORE_ORIGIN, Origin, StoreCache
 from .supervision import supervise
 from .watcher import KindWatcher, StoreHealth, StoreReader
 
@@ -135,7 +135,7 @@
             reply = await self._poll(self._seed_address)
             if reply is None:
                 return
-            self._apply(reply)
+            self._apply(reply, self._seed_address)
             if not reply.is_current:
                 return
             self._note_current(reply.age_ms / 1000)
@@ -171,12 +171,18 @@
             if reply is None:
                 self.tree.mark_suspect(source.name, now())
                 continue
-            self._apply(reply)
+            self._apply(reply, source.name)
             if reply.is_current:
                 self._note_contact(source, reply.age_ms / 1000)
                 return True
         return False
 
+    @property
+    def view_origin(self) -> Origin:
+        """From where the cache is kept current, and the age of that contact with the store."""
+        name = STORE_ORIGIN if self.is_reading else self.upstream_name or self._seed_address
+        return Origin(name, self._age_s())
+
     def _age_s(self) -> float:
         """Time since the newest contact with the store that the cache reflects."""
         if self.is_reading and all(watcher.is_connected for watcher in self._watchers):
@@ -217,7 +223,7 @@
         return address, await self._poll(address)
 
     def _apply_seed_reply(self, address: str, reply: FollowReply) -> None:
-        self._apply(reply)
+        self._apply(reply, address)
         if reply.is_current and self._cache.is_complete:
             log.info("state loaded from seed", seed=address, age_ms=reply.age_ms)
             self._seed_address = address
@@ -241,7 +247,7 @@
                 self.tree.mark_suspect(upstream.name, now())
                 log.warning("relay unreachable", relay=upstream.name)
                 continue
-            self._apply(reply)
+            self._apply(reply, upstream.name)
             self.tree.note_start(upstream.name, reply.started_ms)
             if reply.is_current:
                 self._note_upstream(upstream, reply.age_ms / 1000)
@@ -272,7 +278,8 @@
             return None
         return reply if isinstance(reply, FollowReply) else None
 
-    def _apply(self, reply: FollowReply) -> None:
+    def _apply(self, reply: FollowReply, sender: str) -> None:
+        origin = Origin(sender, reply.age_ms / 1000)
         for update in reply.updates:
             if not self._cache.is_newer(update.kind, update.revision):
                 continue
@@ -283,7 +290,7 @@
                     log.warning("snapshot rejected", kind=update.kind, error=str(error))
                     continue
                 update = KindUpdate(update.kind, update.revision, True, changes)
-            self._cache.apply(update)
+            self._cache.apply(update, origin)
 
     def _start_reading(self) -> None:
         if not self._tasks:
--- a/papayalever/entry/instance.py
+++ b/papayalever/entry/instance.py
@@ -26,7 +26,7 @@
 from .clock import now
 from .crashes import CrashTracker
 from .exchange import Exchange, refuse
-from .follower import Follower
+from .follower import MAX_AGE_S, Follower
 from .framing import BodyMemory
 from .housekeeping import Housekeeping
 from .messages import CallerRequest, RequestMeta, Response
@@ -61,6 +61,8 @@
 depends on the entry."""
 WATCH_MARGIN_S = 1.0
 """Time from the timeout of a watch on a dead connection to the response to the following list."""
+MAX_REPORTED_AGE_S = 3600.0
+"""Age that logs and metrics show for a view that never had contact with the store."""
 ADMIN_LIMITS = CallerLimits(header_bytes=8 * 1024, body_bytes=1024, header_s=3.0, idle_s=30.0)
 """For readiness, metrics and directory requests, which have no body."""
 NO_CONFIG_RETRY_AFTER_S = 0.5
@@ -294,6 +296,7 @@
             "instances": float(len(self._tree.entry_by_name)),
             "reads_store": float(follower.is_reading),
             "view_is_current": float(follower.is_current),
+            "view_age_seconds": min(follower.view_origin.age_s, MAX_REPORTED_AGE_S),
             "callers_connected": float(len(self._callers)),
             "requests_waiting": float(len(self.permit_broker)),
             "requests_sent": float(sum(item.in_flight for item in servers.server_by_id.values())),
@@ -360,8 +363,12 @@
         took_s = now() - started
         self.metrics.count("answers", f"{response.status} {response.reason}".strip())
         self.metrics.time("request", f"rank {fields['rank']}", took_s)
+        view = self.follower.view_origin
         if exchange:
             self.metrics.time("wait", f"rank {fields['rank']}", exchange.trace.waited_s)
+        elif response.status == 404:
+            # Shows whether the route is missing here only.
+            fields = fields | {"origin": view.name}
         log.info(
             "request",
             id=(meta.request_id or b"").decode("latin-1"),
@@ -370,7 +377,8 @@
             status=response.status,
             reason=response.reason,
             ms=round(took_s * 1000, 1),
-            view_is_current=self.follower.is_current,
+            view_is_current=view.age_s < MAX_AGE_S,
+            view_age_ms=int(min(view.age_s, MAX_REPORTED_AGE_S) * 1000),
             **fields,
         )
 
--- a/papayalever/entry/state_updates.py
+++ b/papayalever/entry/state_updates.py
@@ -16,6 +16,7 @@
 from .messages import DirectoryQuery
 from .permit_broker import PermitBroker
 from .shared import SharedState
+from .store_cache import Origin
 
 INSTANCE_KIND = "papayalever-instances"
 """Kind of the stored objects with which instances register themselves."""
@@ -61,7 +62,7 @@
         self._tree = tree
         self._owners = owners
         self._permit_broker = permit_broker
-        self._apply_by_kind: dict[str, Callable[[KindUpdate], None]] = {
+        self._apply_by_kind: dict[str, Callable[[KindUpdate, Origin], None]] = {
             adapter.config_kind: self._apply_config,
             adapter.server_kind: self._apply_servers,
             adapter.evacuation_kind: self._apply_evacuations,
@@ -80,11 +81,11 @@
         adapter = self._adapter
         return (adapter.config_kind, adapter.server_kind, adapter.evacuation_kind)
 
-    def apply(self, update: KindUpdate) -> None:
+    def apply(self, update: KindUpdate, origin: Origin) -> None:
         """Apply an update of one kind."""
-        self._apply_by_kind[update.kind](update)
+        self._apply_by_kind[update.kind](update, origin)
 
-    def _apply_config(self, update: KindUpdate) -> None:
+    def _apply_config(self, update: KindUpdate, origin: Origin) -> None:
         for name, value in update.changes:
             if name != self._adapter.config_name or value is None:
                 continue
@@ -94,15 +95,26 @@
                 log.warning("configuration rejected", error=str(error), revision=update.revision)
                 continue
             if self._shared.routes.apply(config):
-                log.info("configuration in force", version=config.version, revision=update.revision)
+                log.info(
+                    "configuration in force",
+                    version=config.version,
+                    revision=update.revision,
+                    **_origin_fields(origin),
+                )
                 self._permit_broker.note_servers_changed()
 
-    def _apply_servers(self, update: KindUpdate) -> None:
+    def _apply_servers(self, update: KindUpdate, origin: Origin) -> None:
         servers, is_after_outage = self._shared.servers, update.is_after_outage
         entries = [self._read_server(name, value) for name, value in update.changes]
         if update.is_snapshot:
             servers.replace_all([entry for entry in entries if entry], is_after_outage, now())
-            log.info("server list replaced", servers=len(entries), after_outage=is_after_outage)
+            log.info(
+                "server list replaced",
+                servers=len(entries),
+                after_outage=is_after_outage,
+                revision=update.revision,
+                **_origin_fields(origin),
+            )
         else:
             for (name, _), entry in zip(update.changes, entries, strict=True):
                 self._apply_server(name, entry, is_after_outage)
@@ -125,7 +137,7 @@
             log.warning("server entry rejected", error=str(error))
             return None
 
-    def _apply_evacuations(self, update: KindUpdate) -> None:
+    def _apply_evacuations(self, update: KindUpdate, origin: Origin) -> None:
         domains = set() if update.is_snapshot else set(self._shared.servers.evacuated)
         for name, value in update.changes:
             if value is None:
@@ -136,10 +148,15 @@
         rules = config.service_by_name.values() if config else ()
         cold_s = max((rule.cold_s for rule in rules), default=0.0)
         self._shared.servers.set_evacuated(domains, cold_s, now())
-        log.info("evacuations updated", failure_domains=sorted(domains), revision=update.revision)
+        log.info(
+            "evacuations updated",
+            failure_domains=sorted(domains),
+            revision=update.revision,
+            **_origin_fields(origin),
+        )
         self._permit_broker.note_servers_changed()
 
-    def _apply_instances(self, update: KindUpdate) -> None:
+    def _apply_instances(self, update: KindUpdate, origin: Origin) -> None:
         was_listed = self._tree.own.name in self._tree.entry_by_name
         entry_by_name = {} if update.is_snapshot else dict(self._tree.entry_by_name)
         for name, value in update.changes:
@@ -153,11 +170,16 @@
         self._tree.replace_all(entry_by_name.values())
         self._owners.set_instances(entry_by_name)
         self._shared.instances = max(1, len(entry_by_name))
-        log.info("instances updated", count=len(entry_by_name), revision=update.revision)
+        log.info(
+            "instances updated",
+            count=len(entry_by_name),
+            revision=update.revision,
+            **_origin_fields(origin),
+        )
         if was_listed and self._tree.own.name not in entry_by_name:
             self._on_missing()
 
-    def _apply_crashes(self, update: KindUpdate) -> None:
+    def _apply_crashes(self, update: KindUpdate, _origin: Origin) -> None:
         for name, value in update.changes:
             if value is None:
                 self._shared.crashes.forget_record(name)
@@ -166,3 +188,7 @@
                 self._shared.crashes.apply_record(name, value, now())
             except (msgspec.ValidationError, msgspec.DecodeError) as error:
                 log.warning("crash record rejected", name=name, error=str(error))
+
+
+def _origin_fields(origin: Origin) -> dict[str, str | int]:
+    return {"origin": origin.name, "origin_age_ms": int(origin.age_s * 1000)}
--- a/papayalever/entry/store_cache.py
+++ b/papayalever/entry/store_cache.py
@@ -16,7 +16,20 @@
 
 log = logbook.Logger("beliefs")
 
-OnUpdate = Callable[[KindUpdate], None]
+
+@dataclass(frozen=True, slots=True)
+class Origin:
+    """Where an update came from."""
+
+    name: str
+    """The instance or seed that sent it, or `STORE_ORIGIN`."""
+    age_s: float = 0.0
+    """Time since the sender's data was last confirmed by the store."""
+
+
+STORE_ORIGIN = "store"
+FROM_STORE = Origin(STORE_ORIGIN)
+OnUpdate = Callable[[KindUpdate, Origin], None]
 
 
 @dataclass(slots=True)
@@ -72,7 +85,7 @@
         cache = self._cache_by_kind.get(kind)
         return cache is not None and revision > cache.revision
 
-    def apply(self, update: KindUpdate) -> bool:
+    def apply(self, update: KindUpdate, origin: Origin = FROM_STORE) -> bool:
         """Apply an update unless it is older than the cache; returns whether it was applied."""
         cache = self._cache_by_kind.get(update.kind)
         if cache is None or update.revision < cache.revision:
@@ -95,7 +108,7 @@
                 cache.value_by_name[name] = value
         cache.revision = update.revision
         try:
-            self._on_update(update)
+            self._on_update(update, origin)
         except Exception as error:
             # The other kinds and later updates still hold.
             log.error("update not applied", kind=update.kind, error=repr(error))
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -562,7 +562,7 @@
 class TestStoreCopy(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
         self.taken: list[KindUpdate] = []
-        self.copy = StoreCache(("servers", "config"), self.taken.append)
+        self.copy = StoreCache(("servers", "config"), lambda update, _: self.taken.append(update))
 
     def test_older_news_are_not_taken(self):
         self.assertTrue(self.copy.apply(KindUpdate("servers", 9, True, [("a", b"1")])))
@@ -619,7 +619,7 @@
 
     def test_two_copies_agree_after_any_exchange(self):
         chance = Random(SEED)
-        other = StoreCache(("servers", "config"), lambda _: None)
+        other = StoreCache(("servers", "config"), lambda *_: None)
         revision = 1
         self.copy.apply(KindUpdate("servers", revision, True, []))
         for _ in range(600):
