Poll the next upstream when a reply is late, not after its timeout

With a relay, a reader and the reader of another region silent, a configuration was in force after 2.75 and 2.78 s; the shortest bound of the deployments is 2 s. Now the next upstream is asked for its state at once when a reply is 0.25 s later than expected; the late poll goes on and marks its upstream as before. Silent upstreams cost 0.25 s each. A reply of a link that closes while its caller is cancelled no longer prints a traceback.

Test: test_stale_readers.TestSilentUpstreams, failed before, passes now.

--- a/papayalever/cluster/links.py
+++ b/papayalever/cluster/links.py
@@ -113,6 +113,8 @@
                 reply.set_exception(
                     PeerUnreachableError(f"The connection to {self.address} was lost.")
                 )
+                # Marks it as retrieved: the caller may have been cancelled meanwhile.
+                reply.exception()
 
 
 class LinkPool:
--- a/papayalever/entry/follower.py
+++ b/papayalever/entry/follower.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Mapping
 from contextlib import suppress
+from functools import partial
 from random import Random
 
 import logbook
@@ -28,6 +29,10 @@
 REPLY_TIMEOUT_S = 1.1
 """An upstream that has not replied by then is skipped. With the reply of the next one, changes
 reach every instance within 2 s."""
+LATE_REPLY_S = 0.25
+"""How much later than expected a reply may be before the next upstream is polled as well: several
+round trips between regions. Silent upstreams then delay a change by this time each, and not by
+`REPLY_TIMEOUT_S`."""
 MAX_AGE_S = 2.0
 """A cache whose newest contact with the store is older is not current. Covers a chain of three
 upstreams, each polled every `LONG_POLL_S`, and equals the shortest staleness bound of the
@@ -87,6 +92,8 @@
             for kind, wait_s in wait_by_kind.items()
         ]
         self._tasks: list[asyncio.Task] = []
+        self._poll_by_name: dict[str, asyncio.Task[FollowReply | None]] = {}
+        """Polls of upstreams under way, also those that are no longer waited for."""
         self._is_seeded = asyncio.Event()
         self._seed_address = ""
         """Address of the seed that filled the cache."""
@@ -122,6 +129,8 @@
                 else:
                     await self._note_no_upstream(now())
         finally:
+            for poll in self._poll_by_name.values():
+                poll.cancel()
             self._stop_reading()
 
     async def _follow_seed(self) -> None:
@@ -240,20 +249,41 @@
         return self._is_seeded.is_set()
 
     async def _poll_upstreams(self) -> bool:
-        """Poll the upstreams in order of preference; returns whether one is current."""
+        """Poll the upstreams in order of preference; returns whether one is current.
+
+        The first one may wait for a change. While its reply is late, the next ones are polled too.
+        """
+        wait_s = LONG_POLL_S
         for upstream in self.tree.upstreams(now()):
-            reply = await self._poll(upstream.peer_address)
-            if reply is None:
-                self.tree.mark_suspect(upstream.name, now())
-                log.warning("relay unreachable", relay=upstream.name)
+            if upstream.name in self._poll_by_name:
                 continue
-            self._apply(reply, upstream.name)
-            self.tree.note_start(upstream.name, reply.started_ms)
-            if reply.is_current:
+            poll = asyncio.create_task(self._poll_upstream(upstream, wait_s))
+            self._poll_by_name[upstream.name] = poll
+            poll.add_done_callback(partial(self._forget_poll, upstream.name))
+            await asyncio.wait([poll], timeout=wait_s + LATE_REPLY_S)
+            reply = poll.result() if poll.done() else None
+            if reply and reply.is_current:
                 self._note_upstream(upstream, reply.age_ms / 1000)
                 return True
+            wait_s = 0.0
         return False
 
+    def _forget_poll(self, name: str, poll: asyncio.Task[FollowReply | None]) -> None:
+        del self._poll_by_name[name]
+        if not poll.cancelled() and (error := poll.exception()):
+            log.error("poll failed", relay=name, error=repr(error))
+
+    async def _poll_upstream(self, upstream: InstanceEntry, wait_s: float) -> FollowReply | None:
+        """Poll one upstream and apply its reply, also one that nobody waits for any longer."""
+        reply = await self._poll(upstream.peer_address, wait_s)
+        if reply is None:
+            self.tree.mark_suspect(upstream.name, now())
+            log.warning("relay unreachable", relay=upstream.name)
+            return None
+        self._apply(reply, upstream.name)
+        self.tree.note_start(upstream.name, reply.started_ms)
+        return reply
+
     def _note_upstream(self, upstream: InstanceEntry, age_s: float) -> None:
         self._note_contact(upstream, age_s)
         if self._cache.is_complete:
@@ -269,9 +299,9 @@
         self.last_contact_at = now()
         self._age_at_contact_s = age_s
 
-    async def _poll(self, address: str) -> FollowReply | None:
+    async def _poll(self, address: str, wait_s: float = LONG_POLL_S) -> FollowReply | None:
         revisions = self._cache.revision_by_kind | {ACCEPTS_PACKED: 1}
-        request = Follow(self.tree.own.name, revisions, int(LONG_POLL_S * 1000))
+        request = Follow(self.tree.own.name, revisions, int(wait_s * 1000))
         try:
             reply = await self._pool.request(address, request, REPLY_TIMEOUT_S)
         except PeerUnreachableError:
--- /dev/null
+++ b/tests/test_stale_readers.py
@@ -0,0 +1,58 @@
+"""Instances that depend on others which fail silently."""
+
+import asyncio
+import time
+
+from papayalever.cluster.messages import Follow
+from papayalever.entry.instance import EntryInstance
+
+from .support.platform import LoopLag, configuration
+from .test_entry import PlatformCase
+
+CONFIG_S = 2.0
+"""The shortest bound of the deployments within which a configuration is in force everywhere."""
+
+
+class SilentUpstreamCase(PlatformCase):
+    async def start_region(self, store: str = "") -> tuple[EntryInstance, list[EntryInstance]]:
+        """The reader of one region, its followers and, last, the reader of another region."""
+        reader = await self.platform.add_instance("noord-a", store=store)
+        await self.platform.wait(lambda: reader.is_ready, "the reader is ready")
+        others = [
+            await self.platform.ready_instance(domain)
+            for domain in ("noord-a", "noord-b", "noord-b", "midden-a")
+        ]
+        await self.platform.wait(
+            lambda: not any(item.follower.is_reading for item in others[:-1])
+            and all(item.shared.instances == len(others) + 1 for item in others),
+            "the others of the region follow",
+        )
+        return reader, others
+
+    async def time_configuration(self, version: int, instances: list[EntryInstance]) -> float:
+        """Seconds until a configuration is in force, without those the loop had no processor."""
+        self.platform.store.put("config", "main", configuration(version))
+        began = time.monotonic()
+        async with LoopLag() as lag:
+            await self.platform.wait(
+                lambda: all(item.shared.routes.version == version for item in instances), "in force"
+            )
+        return time.monotonic() - began - lag.seconds
+
+
+class TestSilentUpstreams(SilentUpstreamCase):
+    async def test_follower_of_three_silent_instances_gets_a_configuration_within_its_bound(self):
+        reader, (_, head, follower, other_reader) = await self.start_region()
+        polled = asyncio.Event()
+        for instance in (reader, head, other_reader):
+            instance._peers._handle = self.never_reply(follower, polled)
+        await polled.wait()
+        self.assertLess(await self.time_configuration(8, [follower]), CONFIG_S)
+
+    def never_reply(self, follower: EntryInstance, polled: asyncio.Event):
+        async def handle(message: object) -> None:
+            if isinstance(message, Follow) and message.instance == follower.settings.instance:
+                polled.set()
+            await asyncio.sleep(30)
+
+        return handle
