Compare with the readers of other regions, so that a silent one delays nothing

No call to the store is added.

Test: test_stale_readers.TestSilentReader, failed before (2.90 to 2.94 s), passes.

--- a/papayalever/entry/follower.py
+++ b/papayalever/entry/follower.py
@@ -1,6 +1,7 @@
 """Keeps an instance's store cache current, from the store or an upstream (another instance)."""
 
 import asyncio
+import itertools
 from collections.abc import Mapping
 from contextlib import suppress
 from functools import partial
@@ -53,6 +54,9 @@
 needs two round trips between regions and the wait of its first watch."""
 UPSTREAM_RETRY_S = 0.1
 """Pause between the polls of that time."""
+REMOTE_POLL_INTERVAL_S = 0.5
+"""Interval of the polls of other regions' readers. They do not wait for a change: it usually
+arrives through the own region first, and would cross the links between regions once more."""
 STALE_SEED_S = 2.0
 """How long the state of a seed that is not current is held back. A starting instance that reaches
 the store has read it by then, and without it a server that left would be used again."""
@@ -168,6 +172,25 @@
         self._without_upstream_since = None
         self._read_until = at + DIRECT_READ_S
 
+    async def poll_remote_readers(self) -> None:
+        """Poll the readers of other regions in turn while this is the oldest of its failure domain.
+
+        A reader whose connection to the store is silent notices it only when its watch times out,
+        which is later than changes must be in force; until then it counts as current.
+        """
+        for number in itertools.count():
+            await asyncio.sleep(REMOTE_POLL_INTERVAL_S)
+            readers = self.tree.remote_readers(now()) if self.tree.is_head(now()) else []
+            if not self._cache.is_complete or not readers:
+                continue
+            reader = readers[number % len(readers)]
+            reply = await self._poll(reader.peer_address, 0.0)
+            if reply is None:
+                self.tree.mark_suspect(reader.name, now())
+                log.warning("relay unreachable", relay=reader.name)
+                continue
+            self._apply(reply, reader.name)
+
     @property
     def _is_store_failing(self) -> bool:
         """Whether this instance reads the store, but its calls fail."""
--- a/papayalever/entry/instance.py
+++ b/papayalever/entry/instance.py
@@ -188,6 +188,7 @@
         work_by_name = {
             "follower": self.follower.run,
             "seeds": self.follower.poll_seeds,
+            "remote readers": self.follower.poll_remote_readers,
             "registration": self._register,
             "sweep": self._sweep,
             "housekeeping": self._housekeeping.run,
--- a/papayalever/routing/replication_tree.py
+++ b/papayalever/routing/replication_tree.py
@@ -81,17 +81,24 @@
         older = self._older_in_region(now)
         own_domain = [item for item in older if item.failure_domain == self.own.failure_domain]
         found = own_domain[:1] + [item for item in older[:1] if item not in own_domain[:1]]
+        return found + self.remote_readers(now)
+
+    def remote_readers(self, now: float) -> list[InstanceEntry]:
+        """The oldest instance of each other region, which reads the store."""
         regions = {entry.region for entry in self.entry_by_name.values()} - {self.own.region}
-        return found + [live[0] for region in sorted(regions) if (live := self._live(region, now))]
+        return [live[0] for region in sorted(regions) if (live := self._live(region, now))]
+
+    def is_head(self, now: float) -> bool:
+        """Whether this instance is the oldest one of its failure domain."""
+        domain = self.own.failure_domain
+        return all(item.failure_domain != domain for item in self._older_in_region(now))
 
     def fallback_sources(self, now: float) -> list[InstanceEntry]:
         """Instances that a reader asks when the store refuses it: younger ones, other regions."""
         younger = [
             item for item in self._live(self.own.region, now) if _age_key(item) > _age_key(self.own)
         ]
-        regions = {entry.region for entry in self.entry_by_name.values()} - {self.own.region}
-        remote = [live[0] for region in sorted(regions) if (live := self._live(region, now))]
-        return younger[:MAX_YOUNGER_SOURCES] + remote
+        return younger[:MAX_YOUNGER_SOURCES] + self.remote_readers(now)
 
     def _older_in_region(self, now: float) -> list[InstanceEntry]:
         live = self._live(self.own.region, now)
--- a/tests/test_stale_readers.py
+++ b/tests/test_stale_readers.py
@@ -1,4 +1,4 @@
-"""Instances that depend on others which fail silently."""
+"""Instances that depend on others whose way to the store, or to them, fails silently."""
 
 import asyncio
 import time
@@ -6,6 +6,7 @@
 from papayalever.cluster.messages import Follow
 from papayalever.entry.instance import EntryInstance
 
+from .soak.proxy import Fault, FaultProxy
 from .support.platform import LoopLag, configuration
 from .test_entry import PlatformCase
 
@@ -40,6 +41,19 @@
         return time.monotonic() - began - lag.seconds
 
 
+class TestSilentReader(SilentUpstreamCase):
+    async def test_followers_of_a_silently_cut_reader_get_a_configuration_within_its_bound(self):
+        proxy = FaultProxy(f"{self.platform.net}.9:8142", self.platform.store.address)
+        await proxy.start()
+        self.addAsyncCleanup(proxy.stop)
+        reader, others = await self.start_region(proxy.address)
+        proxy.fault = Fault.SILENCE
+        for version in (8, 9):
+            self.assertLess(await self.time_configuration(version, others), CONFIG_S)
+        proxy.fault = Fault.NONE
+        await self.platform.wait(lambda: reader.shared.routes.version == 9, "the reader is back")
+
+
 class TestSilentUpstreams(SilentUpstreamCase):
     async def test_follower_of_three_silent_instances_gets_a_configuration_within_its_bound(self):
         reader, (_, head, follower, other_reader) = await self.start_region()
