Order the state of the store by era and revision

Nothing read Store-Era. A store without eras is in era 0, where positions are the revisions, so that messages of builds before this one still compare. An answer of a later era than that of the watched position leads to a list; one that is older than what was known when the call began counts as a failed call, with its pauses. A malformed era counts as none, with one log line.

--- a/papayalever/cluster/messages.py
+++ b/papayalever/cluster/messages.py
@@ -309,8 +309,9 @@
     """Changes to the stored objects of one kind."""
 
     kind: str
-    revision: int
-    """Store revision of the receiver once it has applied the changes."""
+    position: int
+    """Position of the receiver in the store's history once it has applied the changes; see
+    `entry.store_position`."""
     is_snapshot: bool
     """Whether ``changes`` lists all objects rather than only those that changed."""
     changes: list[tuple[str, bytes | None]]
@@ -324,7 +325,7 @@
     """All stored objects of one kind, compressed; only sent to instances that accept it."""
 
     kind: str
-    revision: int
+    position: int
     packed: bytes
     """The compressed changes of a snapshot, as `cluster.codec.pack_changes` encodes them."""
 
@@ -334,8 +335,8 @@
     """Long poll of another instance for store changes; also shows that ``instance`` is alive."""
 
     instance: str
-    revision_by_kind: dict[str, int]
-    """Revisions of the sender; the key `ACCEPTS_PACKED` shows that it accepts `PackedSnapshot`, as
+    position_by_kind: dict[str, int]
+    """Positions of the sender; the key `ACCEPTS_PACKED` shows that it accepts `PackedSnapshot`, as
     earlier versions reject messages with more fields."""
     wait_ms: int
     """Time that the receiver may wait for changes before it replies."""
@@ -343,7 +344,7 @@
 
 @dataclass(frozen=True, slots=True)
 class FollowReply:
-    """Changes since the requested revisions; empty if there were none within the wait."""
+    """Changes since the requested positions; empty if there were none within the wait."""
 
     is_current: bool
     """Whether the data is recent: its sender reads the store or follows an instance that does."""
--- a/papayalever/entry/follower.py
+++ b/papayalever/entry/follower.py
@@ -222,12 +222,12 @@
         return now() - self.last_contact_at + self._age_at_contact_s
 
     async def handle_follow(self, message: Follow) -> FollowReply:
-        """Reply with the updates since the sender's revisions, or after a wait with none."""
+        """Reply with the updates since the sender's positions, or after a wait with none."""
         self.tree.clear_suspect(message.instance)
-        updates = self._cache.updates_since(message.revision_by_kind)
+        updates = self._cache.updates_since(message.position_by_kind)
         if not updates and self.is_current:
             await self._cache.wait_change(message.wait_ms / 1000)
-            updates = self._cache.updates_since(message.revision_by_kind)
+            updates = self._cache.updates_since(message.position_by_kind)
         age_s = self._age_s()
         is_current = age_s < MAX_AGE_S and not self.is_leaving and not self._is_store_failing
         age_ms = int(min(age_s, MAX_AGE_S) * 1000)
@@ -323,8 +323,8 @@
         self._age_at_contact_s = age_s
 
     async def _poll(self, address: str, wait_s: float = LONG_POLL_S) -> FollowReply | None:
-        revisions = self._cache.revision_by_kind | {ACCEPTS_PACKED: 1}
-        request = Follow(self.tree.own.name, revisions, int(wait_s * 1000))
+        positions = self._cache.position_by_kind | {ACCEPTS_PACKED: 1}
+        request = Follow(self.tree.own.name, positions, int(wait_s * 1000))
         try:
             reply = await self._pool.request(address, request, REPLY_TIMEOUT_S)
         except PeerUnreachableError:
@@ -334,7 +334,7 @@
     def _apply(self, reply: FollowReply, sender: str) -> None:
         origin = Origin(sender, reply.age_ms / 1000)
         for update in reply.updates:
-            if not self._cache.is_newer(update.kind, update.revision):
+            if not self._cache.is_newer(update.kind, update.position):
                 continue
             if isinstance(update, PackedSnapshot):
                 try:
@@ -342,7 +342,7 @@
                 except CodecError as error:
                     log.warning("snapshot rejected", kind=update.kind, error=str(error))
                     continue
-                update = KindUpdate(update.kind, update.revision, True, changes)
+                update = KindUpdate(update.kind, update.position, True, changes)
             self._cache.apply(update, origin)
 
     def _start_reading(self) -> None:
--- a/papayalever/entry/housekeeping.py
+++ b/papayalever/entry/housekeeping.py
@@ -66,7 +66,7 @@
             await self._delete(self._instance_kind, entry.name)
 
     async def _is_answering(self, entry: InstanceEntry) -> bool:
-        request = Follow(self._tree.own.name, self._cache.revision_by_kind, 0)
+        request = Follow(self._tree.own.name, self._cache.position_by_kind, 0)
         try:
             await self._pool.request(entry.peer_address, request, REPLY_TIMEOUT_S)
         except PeerUnreachableError:
--- a/papayalever/entry/state_updates.py
+++ b/papayalever/entry/state_updates.py
@@ -17,6 +17,7 @@
 from .permit_broker import PermitBroker
 from .shared import SharedState
 from .store_cache import Origin
+from .store_position import era_of, revision_of
 
 INSTANCE_KIND = "papayalever-instances"
 """Kind of the stored objects with which instances register themselves."""
@@ -92,13 +93,15 @@
             try:
                 config = self._adapter.read_config(value)
             except self._adapter.error as error:
-                log.warning("configuration rejected", error=str(error), revision=update.revision)
+                log.warning(
+                    "configuration rejected", error=str(error), **_position_fields(update.position)
+                )
                 continue
             if self._shared.routes.apply(config):
                 log.info(
                     "configuration in force",
                     version=config.version,
-                    revision=update.revision,
+                    **_position_fields(update.position),
                     **_origin_fields(origin),
                 )
                 self._permit_broker.note_servers_changed()
@@ -112,7 +115,7 @@
                 "server list replaced",
                 servers=len(entries),
                 after_outage=is_after_outage,
-                revision=update.revision,
+                **_position_fields(update.position),
                 **_origin_fields(origin),
             )
         else:
@@ -151,7 +154,7 @@
         log.info(
             "evacuations updated",
             failure_domains=sorted(domains),
-            revision=update.revision,
+            **_position_fields(update.position),
             **_origin_fields(origin),
         )
         self._permit_broker.note_servers_changed()
@@ -173,7 +176,7 @@
         log.info(
             "instances updated",
             count=len(entry_by_name),
-            revision=update.revision,
+            **_position_fields(update.position),
             **_origin_fields(origin),
         )
         if was_listed and self._tree.own.name not in entry_by_name:
@@ -190,5 +193,9 @@
                 log.warning("crash record rejected", name=name, error=str(error))
 
 
+def _position_fields(position: int) -> dict[str, int]:
+    return {"era": era_of(position), "revision": revision_of(position)}
+
+
 def _origin_fields(origin: Origin) -> dict[str, str | int]:
     return {"origin": origin.name, "origin_age_ms": int(origin.age_s * 1000)}
--- a/papayalever/entry/store_cache.py
+++ b/papayalever/entry/store_cache.py
@@ -9,6 +9,7 @@
 
 from ..cluster.codec import pack_changes
 from ..cluster.messages import ACCEPTS_PACKED, KindUpdate, PackedSnapshot
+from .store_position import NEVER_READ, era_of
 
 MAX_HISTORY = 200
 """Updates of a kind that are kept for followers. A follower that is further behind gets all objects
@@ -37,11 +38,12 @@
     """Cached objects of one kind and their latest updates."""
 
     kind: str
-    revision: int = -1
+    position: int = NEVER_READ
+    """Position of the latest update."""
     value_by_name: dict[str, bytes] = field(default_factory=dict)
     history: deque[KindUpdate] = field(default_factory=lambda: deque(maxlen=MAX_HISTORY))
-    base_revision: int = -1
-    """Revision that the oldest update of ``history`` builds on."""
+    base_position: int = NEVER_READ
+    """Position that the oldest update of ``history`` builds on."""
     packed: PackedSnapshot | None = None
     """The latest packed snapshot, which all followers that start at the same time get."""
 
@@ -51,9 +53,9 @@
         Load pattern: all instances restart at once and ask the same few for the whole state, whose
         links carry it once for each of them.
         """
-        if self.packed is None or self.packed.revision != self.revision:
+        if self.packed is None or self.packed.position != self.position:
             packed = pack_changes(list(self.value_by_name.items()))
-            self.packed = PackedSnapshot(self.kind, self.revision, packed)
+            self.packed = PackedSnapshot(self.kind, self.position, packed)
         return self.packed
 
 
@@ -68,45 +70,50 @@
     @property
     def is_complete(self) -> bool:
         """Whether every kind has been read once."""
-        return all(cache.revision >= 0 for cache in self._cache_by_kind.values())
+        return all(cache.position != NEVER_READ for cache in self._cache_by_kind.values())
 
     @property
-    def revision_by_kind(self) -> dict[str, int]:
-        """Cached revision of each kind, -1 for a kind that was never read."""
-        return {kind: cache.revision for kind, cache in self._cache_by_kind.items()}
+    def position_by_kind(self) -> dict[str, int]:
+        """Cached position of each kind, `NEVER_READ` for a kind that was never read."""
+        return {kind: cache.position for kind, cache in self._cache_by_kind.items()}
 
-    def revision(self, kind: str) -> int | None:
-        """Cached revision of a kind, None if it was never read."""
-        revision = self._cache_by_kind[kind].revision
-        return revision if revision >= 0 else None
+    def position(self, kind: str) -> int:
+        """Cached position of a kind, `NEVER_READ` if it was never read."""
+        return self._cache_by_kind[kind].position
 
-    def is_newer(self, kind: str, revision: int) -> bool:
-        """Whether an update to a revision changes the cache."""
+    def is_newer(self, kind: str, position: int) -> bool:
+        """Whether an update to a position changes the cache."""
         cache = self._cache_by_kind.get(kind)
-        return cache is not None and revision > cache.revision
+        return cache is not None and position > cache.position
 
     def apply(self, update: KindUpdate, origin: Origin = FROM_STORE) -> bool:
         """Apply an update unless it is older than the cache; returns whether it was applied."""
         cache = self._cache_by_kind.get(update.kind)
-        if cache is None or update.revision < cache.revision:
+        if cache is None or update.position < cache.position:
+            return False
+        is_new_era = NEVER_READ < cache.position and era_of(update.position) > era_of(
+            cache.position
+        )
+        if is_new_era and not update.is_snapshot:
+            log.warning("changes of another era ignored", kind=update.kind, origin=origin.name)
             return False
         if update.is_snapshot:
             cache.value_by_name = {}
             cache.history.clear()
-            cache.base_revision = update.revision
+            cache.base_position = update.position
         elif not update.changes:
-            cache.revision = update.revision
+            cache.position = update.position
             return True
         else:
             if len(cache.history) == MAX_HISTORY:
-                cache.base_revision = cache.history[0].revision
+                cache.base_position = cache.history[0].position
             cache.history.append(update)
         for name, value in update.changes:
             if value is None:
                 cache.value_by_name.pop(name, None)
             else:
                 cache.value_by_name[name] = value
-        cache.revision = update.revision
+        cache.position = update.position
         try:
             self._on_update(update, origin)
         except Exception as error:
@@ -116,26 +123,26 @@
         self._changed = asyncio.Event()
         return True
 
-    def updates_since(self, revision_by_kind: dict[str, int]) -> list[KindUpdate | PackedSnapshot]:
-        """Updates for a follower that has the given revisions."""
+    def updates_since(self, position_by_kind: dict[str, int]) -> list[KindUpdate | PackedSnapshot]:
+        """Updates for a follower that has the given positions."""
         updates: list[KindUpdate | PackedSnapshot] = []
-        accepts_packed = ACCEPTS_PACKED in revision_by_kind
+        accepts_packed = ACCEPTS_PACKED in position_by_kind
         for kind, cache in self._cache_by_kind.items():
-            known_revision = revision_by_kind.get(kind, -1)
-            if cache.revision < 0 or known_revision >= cache.revision:
+            known = position_by_kind.get(kind, NEVER_READ)
+            if known >= cache.position:
                 continue
-            if known_revision < cache.base_revision and accepts_packed:
+            if known < cache.base_position and accepts_packed:
                 updates.append(cache.pack())
                 continue
-            if known_revision < cache.base_revision:
+            if known < cache.base_position:
                 changes = list(cache.value_by_name.items())
-                updates.append(KindUpdate(kind, cache.revision, True, changes))
+                updates.append(KindUpdate(kind, cache.position, True, changes))
                 continue
-            later = [update for update in cache.history if update.revision > known_revision]
+            later = [update for update in cache.history if update.position > known]
             if later:
                 changes = [change for update in later for change in update.changes]
                 is_after_outage = any(update.is_after_outage for update in later)
-                updates.append(KindUpdate(kind, cache.revision, False, changes, is_after_outage))
+                updates.append(KindUpdate(kind, cache.position, False, changes, is_after_outage))
         return updates
 
     async def wait_change(self, timeout_s: float) -> None:
--- a/papayalever/entry/watcher.py
+++ b/papayalever/entry/watcher.py
@@ -10,6 +10,7 @@
 
 from ..cluster.messages import KindUpdate
 from .store_cache import StoreCache
+from .store_position import NEVER_READ, era_of, revision_of
 
 WATCH_HISTORY_SHARE = 0.85
 """Longest wait of a watch as a share of the time that the store keeps changes. A watch that waits
@@ -40,15 +41,15 @@
 
 
 class HistoryExpiredError(StoreAccessError):
-    """The store no longer keeps the changes since the revision; the kind must be listed again."""
+    """The store no longer keeps the changes since the position; the kind must be listed again."""
 
 
 @dataclass(frozen=True, slots=True)
 class ReadResult:
-    """Result of a list or watch, and the store's revision that it reflects."""
+    """Result of a list or watch, and the position in the store's history that it reflects."""
 
     changes: list[tuple[str, bytes | None]]
-    revision: int
+    position: int
 
 
 class StoreReader(Protocol):
@@ -57,8 +58,8 @@
     async def list_all(self, kind: str) -> ReadResult:
         """Return every object of a kind."""
 
-    async def watch(self, kind: str, revision: int, wait_s: float) -> ReadResult:
-        """Return the changes after a revision, waiting up to ``wait_s`` for one."""
+    async def watch(self, kind: str, position: int, wait_s: float) -> ReadResult:
+        """Return the changes after a position, waiting up to ``wait_s`` for one."""
 
 
 @dataclass(slots=True)
@@ -130,16 +131,22 @@
     async def _read_once(self, is_probe: bool = False) -> bool:
         """Make one call to the store; returns whether it brought changes."""
         loop = asyncio.get_running_loop()
-        known_revision = self._cache.revision(self.kind)
-        is_snapshot = known_revision is None or self._is_history_expired or is_probe
+        known = self._cache.position(self.kind)
+        is_snapshot = known == NEVER_READ or self._is_history_expired or is_probe
         try:
             if is_snapshot:
                 result = await self._store.list_all(self.kind)
             else:
                 wait_s = self._wait_s if self.is_connected else min(self._wait_s, FIRST_WAIT_S)
-                result = await self._store.watch(self.kind, known_revision, wait_s)
+                result = await self._store.watch(self.kind, known, wait_s)
+            _check_order(result, known)
         except HistoryExpiredError:
-            log.info("store history expired", kind=self.kind, revision=known_revision)
+            log.info(
+                "store history expired",
+                kind=self.kind,
+                era=era_of(known),
+                revision=revision_of(known),
+            )
             self._is_history_expired = True
             return False
         except StoreAccessError as error:
@@ -154,7 +161,17 @@
         self.is_connected = True
         self._cache.apply(
             KindUpdate(
-                self.kind, result.revision, is_snapshot, result.changes, outage_s > MIN_OUTAGE_S
+                self.kind, result.position, is_snapshot, result.changes, outage_s > MIN_OUTAGE_S
             )
         )
         return bool(result.changes)
+
+
+def _check_order(result: ReadResult, known: int) -> None:
+    """Raise `StoreAccessError` if a response is older than what was known when the call began."""
+    if result.position < known:
+        raise StoreAccessError(
+            f"the store is at revision {revision_of(result.position)} of era "
+            f"{era_of(result.position)}, before revision {revision_of(known)} of era "
+            f"{era_of(known)}"
+        )
--- a/papayalever/platform/store.py
+++ b/papayalever/platform/store.py
@@ -1,30 +1,43 @@
-"""Client of the platform's object store: kinds, revisions, pages and watches."""
+"""Client of the platform's object store: kinds, eras, revisions, pages and watches."""
 
 import asyncio
+import re
 from collections import Counter
 from dataclasses import dataclass
-from typing import Any
+from typing import Annotated, Any
 from urllib.parse import quote
 
+import logbook
 import msgspec
 
 from ..entry.connection import ClientConnection, SendError, connect
 from ..entry.messages import ServerResponse
+from ..entry.store_position import MAX_REVISION, era_of, make_position, revision_of
 from ..entry.watcher import HistoryExpiredError, ReadResult, StoreAccessError
 
 CONNECT_TIMEOUT_S = 0.4
 """Five round trips between regions; short, so that a retry soon notices a healed partition."""
 CALL_TIMEOUT_S = 1.0
 """The store responds in 4 ms; even when 60 times slower, it responds in time."""
+ERA_HEADER = b"store-era"
+"""Rises by one each time the store restores a copy; stores that never do so may omit it."""
+ERA = re.compile(rb"\d{1,18}")
+MAX_LOGGED_VALUE_BYTES = 60
 WATCH_TIMEOUT_MARGIN_S = 0.6
 """Added to the requested wait, for a slow store; after it the connection counts as dead."""
 
 
+Revision = Annotated[int, msgspec.Meta(ge=0, le=MAX_REVISION)]
+
+
+log = logbook.Logger("store")
+
+
 class Metadata(msgspec.Struct):
     """What the store itself records about an object."""
 
     name: str
-    revision: int = 0
+    revision: Revision = 0
     deleting: bool = False
 
 
@@ -39,7 +52,7 @@
     """A page of objects."""
 
     items: list[StoredObject]
-    as_of: int
+    as_of: Revision
     has_more: bool = False
 
 
@@ -51,10 +64,10 @@
 
 
 class WatchResponse(msgspec.Struct):
-    """Changes after a revision."""
+    """Changes after the watched revision."""
 
     events: list[WatchEvent]
-    as_of: int
+    as_of: Revision
 
 
 class StoreError(StoreAccessError):
@@ -69,34 +82,53 @@
     """The object already exists or has changed."""
 
 
+@dataclass(frozen=True, slots=True)
+class StoreAnswer:
+    """Body of a successful response, and the era of the store that sent it."""
+
+    body: bytes
+    era: int
+
+
 @dataclass(eq=False, slots=True)
 class StoreClient:
     """Client of the store; each call opens its own connection."""
 
     address: str
     calls_by_kind: Counter
+    _has_logged_era: bool = False
 
     async def list_all(self, kind: str) -> ReadResult:
-        """List all objects of a kind and the revision they were read at."""
+        """List all objects of a kind and the position they were read at."""
         changes: list[tuple[str, bytes | None]] = []
-        after, as_of = "", 0
+        after, first_position = "", None
         while True:
             query = f"?after={quote(after)}" if after else ""
-            body = await self._call("GET", f"/objects/{kind}{query}", None, CALL_TIMEOUT_S)
-            page = _decode(body, ListResponse)
+            answer = await self._call("GET", f"/objects/{kind}{query}", None, CALL_TIMEOUT_S)
+            page = _decode(answer.body, ListResponse)
             changes += [_to_change(item, False) for item in page.items]
-            as_of = as_of or page.as_of
+            position = make_position(answer.era, page.as_of)
+            first_position = position if first_position is None else first_position
+            if era_of(first_position) != answer.era:
+                raise StoreError(f"GET {kind}: the store restored a copy between two pages")
             if not page.has_more or not page.items:
-                return ReadResult(changes, as_of)
+                return ReadResult(changes, first_position)
             after = page.items[-1].metadata.name
 
-    async def watch(self, kind: str, revision: int, wait_s: float) -> ReadResult:
-        """Wait for changes after a revision; `HistoryExpiredError` if the store forgot it."""
-        path = f"/objects/{kind}?watch={revision}&wait_ms={int(wait_s * 1000)}"
-        body = await self._call("GET", path, None, wait_s + WATCH_TIMEOUT_MARGIN_S)
-        response = _decode(body, WatchResponse)
+    async def watch(self, kind: str, position: int, wait_s: float) -> ReadResult:
+        """Wait for changes after a position.
+
+        Raises `HistoryExpiredError` if the store forgot it or counts a later era: the changes that
+        it returns then follow another state than that of the position.
+        """
+        path = f"/objects/{kind}?watch={revision_of(position)}&wait_ms={int(wait_s * 1000)}"
+        answer = await self._call("GET", path, None, wait_s + WATCH_TIMEOUT_MARGIN_S)
+        if answer.era > era_of(position):
+            raise HistoryExpiredError(f"watch {kind}: the store restored a copy")
+        response = _decode(answer.body, WatchResponse)
         return ReadResult(
-            [_to_change(item.object, item.deleted) for item in response.events], response.as_of
+            [_to_change(item.object, item.deleted) for item in response.events],
+            make_position(answer.era, response.as_of),
         )
 
     async def put(self, kind: str, name: str, value: Any) -> None:
@@ -111,7 +143,7 @@
         """Delete an object."""
         await self._call("DELETE", f"/objects/{kind}/{quote(name)}", None, CALL_TIMEOUT_S)
 
-    async def _call(self, method: str, path: str, document: Any, timeout_s: float) -> bytes:
+    async def _call(self, method: str, path: str, document: Any, timeout_s: float) -> StoreAnswer:
         self.calls_by_kind[f"{method} {path.split('/')[2].split('?')[0]}"] += 1
         body = msgspec.json.encode(document) if document is not None else b""
         head = f"{method} {path} HTTP/1.1\r\nHost: {self.address}\r\n"
@@ -129,7 +161,23 @@
         finally:
             if connection:
                 connection.close()
-        return _check_status(response, f"{method} {path}")
+        return StoreAnswer(
+            _check_status(response, f"{method} {path}"), self._read_era(response.headers)
+        )
+
+    def _read_era(self, headers: list[tuple[bytes, bytes]]) -> int:
+        """Era of a response, 0 if it names none."""
+        values = {value.strip() for name, value in headers if name == ERA_HEADER}
+        if not values:
+            return 0
+        value, *others = values
+        if not others and ERA.fullmatch(value):
+            return int(value)
+        if not self._has_logged_era:
+            self._has_logged_era = True
+            shown = b", ".join(values)[:MAX_LOGGED_VALUE_BYTES]
+            log.warning("era of the store is not a number", value=repr(shown))
+        return 0
 
 
 def _check_status(response: ServerResponse, call: str) -> bytes:
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -38,13 +38,20 @@
         self.callers: Counter[str] = Counter()
         self.down_for: Callable[[str], bool] = lambda host: False
         self.forgets = False
+        self.era = ""
+        """Value of the header in which the store names its era, empty for none."""
         self.page = 50
+        self._since = 0
+        """The oldest revision that can be watched."""
+        self._watches = 0
+        """Increases when all waiting watches are reset."""
         self._changed = asyncio.Event()
         self._runner: web.AppRunner | None = None
         self._caller_by_port: dict[int, str] = {}
 
     async def start(self) -> None:
         app = web.Application()
+        app.on_response_prepare.append(self._name_era)
         app.router.add_get("/objects/{kind}", self._read)
         app.router.add_post("/objects/{kind}", self._create)
         app.router.add_put("/objects/{kind}/{name}", self._replace)
@@ -79,6 +86,27 @@
         item = self.objects.pop((kind, name))
         self._note(kind, item, True)
 
+    def copy(self) -> tuple[int, dict[tuple[str, str], dict]]:
+        """A copy of what is stored now, for `restore`."""
+        return self.revision, dict(self.objects)
+
+    def restore(self, copy: tuple[int, dict[tuple[str, str], dict]]) -> None:
+        """Lose what was stored since a copy was made, and count a new era."""
+        self.revision, self.objects = copy[0], dict(copy[1])
+        self.history.clear()
+        self._since = copy[0]
+        self.era = str(int(self.era) + 1) if self.era.isdigit() else self.era
+        self._reset_watches()
+
+    def _reset_watches(self) -> None:
+        self._watches += 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _name_era(self, _request: web.Request, response: web.StreamResponse) -> None:
+        if self.era:
+            response.headers["Store-Era"] = self.era
+
     def _note(self, kind: str, item: dict, is_deleted: bool) -> None:
         self.history.append((self.revision, kind, item, is_deleted))
         self._changed.set()
@@ -102,11 +130,12 @@
             return web.json_response({"items": items, "has_more": more, "as_of": self.revision})
         self._enter(request, f"watch {kind}")
         since = int(request.query["watch"])
-        if self.forgets:
+        if self.forgets or not self._since <= since <= self.revision:
             raise web.HTTPGone()
         end = time.monotonic() + int(request.query["wait_ms"]) / 1000
+        watches = self._watches
         while not self._events(kind, since) and time.monotonic() < end:
-            if self.down_for(self._find_caller(request)):
+            if self.down_for(self._find_caller(request)) or self._watches != watches:
                 if request.transport:
                     request.transport.abort()
                 raise web.HTTPServiceUnavailable()
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -576,7 +576,7 @@
         self.copy.apply(KindUpdate("servers", 8, False, [("a", None)]))
         (whole,) = self.copy.updates_since({})
         self.assertEqual(
-            (True, 8, [("b", b"2")]), (whole.is_snapshot, whole.revision, whole.changes)
+            (True, 8, [("b", b"2")]), (whole.is_snapshot, whole.position, whole.changes)
         )
         (later,) = self.copy.updates_since({"servers": 6, "config": 0})
         self.assertEqual((False, [("a", None)]), (later.is_snapshot, later.changes))
@@ -598,7 +598,7 @@
         self.assertLess(len(packed.packed), plain / 4)
         self.copy.apply(KindUpdate("servers", 6, False, [("i-0000000001", None)]))
         (newer,) = self.copy.updates_since({ACCEPTS_PACKED: 1})
-        self.assertEqual((6, 479), (newer.revision, len(unpack_changes(newer.packed))))
+        self.assertEqual((6, 479), (newer.position, len(unpack_changes(newer.packed))))
         # A follower that is little behind gets the changes only.
         (later,) = self.copy.updates_since({"servers": 5, ACCEPTS_PACKED: 1})
         self.assertEqual([("i-0000000001", None)], later.changes)
@@ -629,9 +629,9 @@
                 KindUpdate("servers", revision, False, [(f"n{chance.randint(0, 5)}", value)])
             )
             if chance.random() < 0.2:
-                for update in self.copy.updates_since(other.revision_by_kind):
+                for update in self.copy.updates_since(other.position_by_kind):
                     other.apply(update)
-        for update in self.copy.updates_since(other.revision_by_kind):
+        for update in self.copy.updates_since(other.position_by_kind):
             other.apply(update)
         first, second = self.copy.updates_since({}), other.updates_since({})
         self.assertEqual(dict(first[0].changes), dict(second[0].changes))
