--- a/papayalever/entry/watcher.py
+++ b/papayalever/entry/watcher.py
@@ -129,7 +129,7 @@
             self.is_connected = False
 
     async def _read_once(self, is_probe: bool = False) -> bool:
-        """Make one call to the store; returns whether it brought changes."""
+        """Make one call to the store; returns whether it brought changes or all objects."""
         loop = asyncio.get_running_loop()
         known = self._cache.position(self.kind)
         is_snapshot = known == NEVER_READ or self._is_history_expired or is_probe
@@ -164,7 +164,7 @@
                 self.kind, result.position, is_snapshot, result.changes, outage_s > MIN_OUTAGE_S
             )
         )
-        return bool(result.changes)
+        return is_snapshot or bool(result.changes)
 
 
 def _check_order(result: ReadResult, known: int) -> None:
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -132,6 +132,15 @@
         self.put_config(10)
         await self.time_config(10, [instance])
 
+    async def test_store_that_forgets_its_history_is_not_called_without_a_pause(self):
+        await self.start("noord-a")
+        self.store.forgets = True
+        self.store._reset_watches()
+        before = self.store.calls.total()
+        await asyncio.sleep(2.0)
+        kinds, pause_s = 5, 0.4
+        self.assertLessEqual(self.store.calls.total() - before, 2 * kinds * (2.0 / pause_s + 2))
+
     def entry(self, number: int) -> dict:
         return {
             "service": "logboek",
