Hold what was known for a while after the store restored a copy

Callers were sent to servers that had left, and not to those that had joined, and an evacuated domain got requests again: a list was the whole truth at once, also that of a copy some seconds old. Now each instance holds what it knew against the copy until the object is written again: entries and evacuations that the copy lacks or has in an older state for 1.9 s, servers that left or are leaving for a lease (they expire in the copy unless they live), instances for 10 s, crash records for their window, the configuration until one that is not older is written. Entries that are recognisably newer (incarnation and sequence, version) and unknown ones count at once. The grace of entries that lapsed in an outage is the same mechanism now; it was in the table of servers, and its tests moved with it, as strict as before.

Tests: TestHeldAgainstCopy, TestLapsedEntries and TestCallersBesideARestore in test_restored_store.

--- a/papayalever/entry/follower.py
+++ b/papayalever/entry/follower.py
@@ -343,7 +343,7 @@
                     log.warning("snapshot rejected", kind=update.kind, error=str(error))
                     continue
                 update = KindUpdate(update.kind, update.position, True, changes)
-            self._cache.apply(update, origin)
+            self._cache.apply(update, now(), origin)
 
     def _start_reading(self) -> None:
         if not self._tasks:
--- a/papayalever/entry/instance.py
+++ b/papayalever/entry/instance.py
@@ -28,6 +28,7 @@
 from .exchange import Exchange, refuse
 from .follower import MAX_AGE_S, Follower
 from .framing import BodyMemory
+from .hold_policies import build_hold_policies
 from .housekeeping import Housekeeping
 from .messages import CallerRequest, RequestMeta, Response
 from .metrics import EntryMetrics
@@ -45,7 +46,7 @@
 BACKLOG = 512
 """Accept queue of a listener; a caller that meets a full queue is delayed by seconds."""
 SWEEP_INTERVAL_S = 0.25
-"""Interval between removals of expired idle connections and of lapsed server entries."""
+"""Interval between removals of expired idle connections and of held objects."""
 DIRECTORY_TTL_S = 2.0
 """How long callers may cache a directory response."""
 CLOSE_TIMEOUT_S = 0.2
@@ -140,7 +141,9 @@
             self.permit_broker,
             self._register_again,
         )
-        self.cache = StoreCache(self._state_updater.kinds, self._state_updater.apply)
+        self.cache = StoreCache(
+            build_hold_policies(store_adapter, settings.heartbeat_s), self._state_updater.apply
+        )
         self.follower = Follower(
             self._tree,
             self.cache,
@@ -428,8 +431,7 @@
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
-            for server_id in self.shared.servers.drop_expired(now()):
-                log.info("server removed", id=server_id, after_outage=True)
+            self.cache.release_held(now())
             listed_ids = set(self.shared.servers.server_by_id)
             self.shared.pool.sweep(listed_ids)
             self.shared.limits.forget_unlisted(listed_ids, now())
--- a/papayalever/entry/settings.py
+++ b/papayalever/entry/settings.py
@@ -46,6 +46,8 @@
     """Peer addresses of other instances to bootstrap from; some may no longer exist."""
     history_s: float = 20.0
     """How long the store keeps its change history."""
+    heartbeat_s: float = 1.5
+    """Interval at which backend servers renew their entries in the store."""
     memory_mb: float = 222.0
     link_mbit_s: float = 100.0
     cpu_share: float = 1.0
--- a/papayalever/entry/state_updates.py
+++ b/papayalever/entry/state_updates.py
@@ -107,29 +107,29 @@
                 self._permit_broker.note_servers_changed()
 
     def _apply_servers(self, update: KindUpdate, origin: Origin) -> None:
-        servers, is_after_outage = self._shared.servers, update.is_after_outage
+        servers = self._shared.servers
         entries = [self._read_server(name, value) for name, value in update.changes]
         if update.is_snapshot:
-            servers.replace_all([entry for entry in entries if entry], is_after_outage, now())
+            servers.replace_all([entry for entry in entries if entry], now())
             log.info(
                 "server list replaced",
                 servers=len(entries),
-                after_outage=is_after_outage,
+                after_outage=update.is_after_outage,
                 **_position_fields(update.position),
                 **_origin_fields(origin),
             )
         else:
             for (name, _), entry in zip(update.changes, entries, strict=True):
-                self._apply_server(name, entry, is_after_outage)
+                self._apply_server(name, entry)
         self._permit_broker.note_servers_changed()
 
-    def _apply_server(self, name: str, entry: ServerEntry | None, is_after_outage: bool) -> None:
+    def _apply_server(self, name: str, entry: ServerEntry | None) -> None:
         if entry:
             self._shared.servers.put(entry, now())
             log.info("server updated", id=entry.id, phase=entry.phase, cold_s=entry.cold_left_s)
         else:
-            self._shared.servers.remove(name, is_after_outage, now())
-            log.info("server removed", id=name, after_outage=is_after_outage)
+            self._shared.servers.remove(name)
+            log.info("server removed", id=name)
 
     def _read_server(self, name: str, value: bytes | None) -> ServerEntry | None:
         if value is None:
--- a/papayalever/entry/store_cache.py
+++ b/papayalever/entry/store_cache.py
@@ -2,14 +2,15 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
-from dataclasses import dataclass, field
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field, replace
 
 import logbook
 
 from ..cluster.codec import pack_changes
 from ..cluster.messages import ACCEPTS_PACKED, KindUpdate, PackedSnapshot
-from .store_position import NEVER_READ, era_of
+from .held_objects import HeldObjects, HoldPolicy
+from .store_position import NEVER_READ, era_of, revision_of
 
 MAX_HISTORY = 200
 """Updates of a kind that are kept for followers. A follower that is further behind gets all objects
@@ -38,6 +39,7 @@
     """Cached objects of one kind and their latest updates."""
 
     kind: str
+    held: HeldObjects
     position: int = NEVER_READ
     """Position of the latest update."""
     value_by_name: dict[str, bytes] = field(default_factory=dict)
@@ -47,6 +49,46 @@
     packed: PackedSnapshot | None = None
     """The latest packed snapshot, which all followers that start at the same time get."""
 
+    def replace_all(self, update: KindUpdate, is_new_era: bool, now: float) -> None:
+        """Store all objects of a snapshot, and hold what it lacks for now."""
+        known, stored_before = self.held.overlay(self.value_by_name), self.value_by_name
+        self.value_by_name = {name: value for name, value in update.changes if value is not None}
+        self.history.clear()
+        self.position = self.base_position = update.position
+        if is_new_era:
+            self.held.hold_against_copy(known, self.value_by_name, now)
+            return
+        for name in stored_before.keys() | self.held.held_by_name.keys():
+            stored = self.value_by_name.get(name)
+            if stored != stored_before.get(name):
+                self.held.note_write(name, stored, now)
+        if update.is_after_outage:
+            self.held.hold_lapsed(known, self.value_by_name, now)
+
+    def apply_changes(self, update: KindUpdate, now: float) -> None:
+        """Store the changed objects and keep the changes for followers."""
+        if len(self.history) == MAX_HISTORY:
+            self.base_position = self.history[0].position
+        self.history.append(update)
+        for name, value in update.changes:
+            if value is None:
+                self.value_by_name.pop(name, None)
+            else:
+                self.value_by_name[name] = value
+            self.held.note_write(name, value, now)
+        self.position = update.position
+
+    def without_held(self, update: KindUpdate) -> KindUpdate:
+        """The update as it counts here: without changes of objects that are held."""
+        held_by_name = self.held.held_by_name
+        if not held_by_name:
+            return update
+        if update.is_snapshot:
+            return replace(update, changes=list(self.held.overlay(self.value_by_name).items()))
+        return replace(
+            update, changes=[item for item in update.changes if item[0] not in held_by_name]
+        )
+
     def pack(self) -> PackedSnapshot:
         """All objects, compressed.
 
@@ -62,8 +104,10 @@
 class StoreCache:
     """Caches objects of all kinds and announces each update."""
 
-    def __init__(self, kinds: tuple[str, ...], on_update: OnUpdate) -> None:
-        self._cache_by_kind = {kind: KindCache(kind) for kind in kinds}
+    def __init__(self, policy_by_kind: Mapping[str, HoldPolicy], on_update: OnUpdate) -> None:
+        self._cache_by_kind = {
+            kind: KindCache(kind, HeldObjects(policy)) for kind, policy in policy_by_kind.items()
+        }
         self._on_update = on_update
         self._changed = asyncio.Event()
 
@@ -86,7 +130,16 @@
         cache = self._cache_by_kind.get(kind)
         return cache is not None and position > cache.position
 
-    def apply(self, update: KindUpdate, origin: Origin = FROM_STORE) -> bool:
+    def stored_value(self, kind: str, name: str) -> bytes | None:
+        """Value that the store has for an object, None if it has none, whatever is held."""
+        return self._cache_by_kind[kind].value_by_name.get(name)
+
+    def returned_names(self, kind: str) -> list[str]:
+        """Objects that a restored copy brought back although they had been deleted."""
+        held_by_name = self._cache_by_kind[kind].held.held_by_name
+        return [name for name, held in held_by_name.items() if held.value is None]
+
+    def apply(self, update: KindUpdate, now: float, origin: Origin = FROM_STORE) -> bool:
         """Apply an update unless it is older than the cache; returns whether it was applied."""
         cache = self._cache_by_kind.get(update.kind)
         if cache is None or update.position < cache.position:
@@ -97,23 +150,35 @@
         if is_new_era and not update.is_snapshot:
             log.warning("changes of another era ignored", kind=update.kind, origin=origin.name)
             return False
-        if update.is_snapshot:
-            cache.value_by_name = {}
-            cache.history.clear()
-            cache.base_position = update.position
-        elif not update.changes:
+        if not update.is_snapshot and not update.changes:
             cache.position = update.position
             return True
+        if update.is_snapshot:
+            cache.replace_all(update, is_new_era, now)
         else:
-            if len(cache.history) == MAX_HISTORY:
-                cache.base_position = cache.history[0].position
-            cache.history.append(update)
-        for name, value in update.changes:
-            if value is None:
-                cache.value_by_name.pop(name, None)
-            else:
-                cache.value_by_name[name] = value
-        cache.position = update.position
+            cache.apply_changes(update, now)
+        if is_new_era:
+            log.warning(
+                "store restored a copy",
+                kind=update.kind,
+                era=era_of(update.position),
+                revision=revision_of(update.position),
+                origin=origin.name,
+                held=len(cache.held.held_by_name),
+            )
+        self._announce(cache.without_held(update), origin)
+        return True
+
+    def release_held(self, now: float) -> None:
+        """Let the store's state count again for the objects that were held long enough."""
+        for kind, cache in self._cache_by_kind.items():
+            names = cache.held.take_expired(now)
+            if names:
+                changes = [(name, cache.value_by_name.get(name)) for name in names]
+                log.info("held objects released", kind=kind, count=len(names))
+                self._announce(KindUpdate(kind, cache.position, False, changes), FROM_STORE)
+
+    def _announce(self, update: KindUpdate, origin: Origin) -> None:
         try:
             self._on_update(update, origin)
         except Exception as error:
@@ -121,7 +186,6 @@
             log.error("update not applied", kind=update.kind, error=repr(error))
         self._changed.set()
         self._changed = asyncio.Event()
-        return True
 
     def updates_since(self, position_by_kind: dict[str, int]) -> list[KindUpdate | PackedSnapshot]:
         """Updates for a follower that has the given positions."""
--- a/papayalever/entry/watcher.py
+++ b/papayalever/entry/watcher.py
@@ -19,7 +19,7 @@
 """Longest wait that the store accepts."""
 FIRST_RETRY_PAUSE_S = 0.1
 MAX_RETRY_PAUSE_S = 0.4
-"""With the grace period for lapsed entries (`OUTAGE_GRACE_S`) this stays below 3 s, the time after
+"""With the grace period for lapsed entries (`REWRITE_S`) this stays below 3 s, the time after
 an outage at which the staleness bounds apply again."""
 BATCH_PAUSE_S = 0.4
 """Pause after a change: changes come in bursts, and each call counts against a rate limit and a
@@ -162,7 +162,8 @@
         self._cache.apply(
             KindUpdate(
                 self.kind, result.position, is_snapshot, result.changes, outage_s > MIN_OUTAGE_S
-            )
+            ),
+            loop.time(),
         )
         return is_snapshot or bool(result.changes)
 
--- a/papayalever/platform/objects.py
+++ b/papayalever/platform/objects.py
@@ -129,6 +129,7 @@
         phase=Phase.READY if spec.phase == "ready" else Phase.LEAVING,
         cold_left_s=spec.warmup_left_ms / 1000,
         started_ms=spec.born,
+        sequence=spec.sequence,
     )
 
 
--- a/papayalever/platform/program.py
+++ b/papayalever/platform/program.py
@@ -5,6 +5,7 @@
 import signal
 import sys
 from collections import Counter
+from collections.abc import Mapping
 from contextlib import suppress
 from pathlib import Path
 
@@ -34,8 +35,14 @@
         retry_after=wire.retry_after,
         reserved_headers=wire.RESERVED_HEADERS,
     )
-    store_adapter = StoreAdapter(
-        read_server=lambda name, value: objects.read_server(name, value, settings.region_by_domain),
+    store_adapter = build_store_adapter(settings.region_by_domain)
+    return EntryInstance(settings, StoreClient(settings.store, Counter()), adapter, store_adapter)
+
+
+def build_store_adapter(region_by_domain: Mapping[str, str]) -> StoreAdapter:
+    """Build the decoders of the platform's stored objects."""
+    return StoreAdapter(
+        read_server=lambda name, value: objects.read_server(name, value, region_by_domain),
         read_config=objects.read_config,
         read_directory_query=wire.read_directory_query,
         directory_response=wire.directory_response,
@@ -46,7 +53,6 @@
         evacuation_kind=objects.EVACUATION_KIND,
         ready_path=wire.READY_PATH,
     )
-    return EntryInstance(settings, StoreClient(settings.store, Counter()), adapter, store_adapter)
 
 
 def main() -> int:
--- a/papayalever/platform/settings_file.py
+++ b/papayalever/platform/settings_file.py
@@ -54,6 +54,10 @@
         "seeds": [item for item in value_by_name.get("seeds", "").split(",") if item],
         "store": _require_field(value_by_name, "provider.address"),
         "history_s": value_by_name.get("provider.history_s", "20"),
+        "heartbeat_s": _parse_number(
+            "field 'heartbeat_ms'", value_by_name.get("heartbeat_ms", "1500")
+        )
+        / 1000,
         "memory_mb": value_by_name.get("limits.memory_mb", "222"),
         "link_mbit_s": value_by_name.get("limits.link_mbps", "100"),
         "cpu_share": value_by_name.get("limits.cpu_share", "1"),
@@ -81,18 +85,7 @@
         return number(name, default_ms) / 1000
 
     def number(name: str, default: float) -> float:
-        text = text_by_name.get(name, default)
-        try:
-            value = float(text)
-        except ValueError as error:
-            raise SettingsFileError(
-                f"settings file: bound {name!r} is {text!r}, expected a number"
-            ) from error
-        if not 0 <= value < float("inf"):
-            raise SettingsFileError(
-                f"settings file: bound {name!r} is {text!r}, expected a finite number of 0 or more"
-            )
-        return value
+        return _parse_number(f"bound {name!r}", text_by_name.get(name, str(default)))
 
     return Bounds(
         contact_s=seconds("contact_ms", 4000),
@@ -108,3 +101,15 @@
         max_answer_life_s=number("ttl_max_s", 5),
         max_shift=number("shift_most", 0.15),
     )
+
+
+def _parse_number(name: str, text: str) -> float:
+    try:
+        value = float(text)
+    except ValueError as error:
+        raise SettingsFileError(f"settings file: {name} is {text!r}, expected a number") from error
+    if not 0 <= value < float("inf"):
+        raise SettingsFileError(
+            f"settings file: {name} is {text!r}, expected a finite number of 0 or more"
+        )
+    return value
--- a/papayalever/routing/servers.py
+++ b/papayalever/routing/servers.py
@@ -19,11 +19,6 @@
 FIRST_EJECT_S = 0.5
 MAX_EJECT_S = 4.0
 """Crashed servers are down for a few seconds, so they are retried at least this often."""
-OUTAGE_GRACE_S = 1.9
-"""The platform guarantees that entries which expired during an outage of the store are written
-again within this time."""
-REMEMBERED_S = 60.0
-"""How long a removed id is remembered, so that an old entry is not taken for a new server."""
 
 
 class Phase(StrEnum):
@@ -48,6 +43,8 @@
     """How much longer it is cold: slow, and crashed by too many requests."""
     started_ms: int | None = None
     """Start time in Unix milliseconds; another value under the same id means a restart."""
+    sequence: int = 0
+    """Number of writes of the entry since the server started."""
 
 
 @dataclass(eq=False, slots=True)
@@ -67,8 +64,6 @@
     """Set when its owner or the server itself reports that it has no room."""
     limited_until: float = float("-inf")
     """Until when the limit that the server named leaves no room."""
-    grace_until: float | None = None
-    """Set when the entry was missing after an outage of the store; it may return until then."""
     pace: float = 1.0
     """Measured response time relative to the mean of its service; 1 is average."""
 
@@ -111,14 +106,12 @@
         """Servers of a service, ordered by id."""
         return self._servers_by_service.get(service, [])
 
-    def replace_all(
-        self, entries: Iterable[ServerEntry], is_after_outage: bool, now: float
-    ) -> None:
-        """Replace all entries; see `remove` for those that are missing."""
+    def replace_all(self, entries: Iterable[ServerEntry], now: float) -> None:
+        """Replace all entries."""
         entry_by_id = {entry.id: entry for entry in entries}
         for server_id in list(self.server_by_id):
             if server_id not in entry_by_id:
-                self.remove(server_id, is_after_outage, now)
+                self.remove(server_id)
         for entry in entry_by_id.values():
             self._put(entry, now)
         self._regroup()
@@ -134,21 +127,13 @@
             server = Server(entry)
             self.server_by_id[entry.id] = server
         server.entry = entry
-        server.grace_until = None
         if entry.cold_left_s > 0:
             server.cold_until = max(server.cold_until, now + entry.cold_left_s)
 
-    def remove(self, server_id: str, is_after_outage: bool, now: float) -> None:
-        """Remove a server; after an outage of the store, keep it for a grace period."""
-        server = self.server_by_id.get(server_id)
-        if server is None:
-            return
-        if is_after_outage and server.entry.phase == Phase.READY:
-            if server.grace_until is None:
-                server.grace_until = now + OUTAGE_GRACE_S
-            return
-        del self.server_by_id[server_id]
-        self._regroup()
+    def remove(self, server_id: str) -> None:
+        """Remove a server if it is known."""
+        if self.server_by_id.pop(server_id, None):
+            self._regroup()
 
     def may_send(self, server: Server) -> bool:
         """Whether a server is still listed, ready and not in an evacuated domain."""
@@ -158,19 +143,6 @@
             and server.entry.failure_domain not in self.evacuated
         )
 
-    def drop_expired(self, now: float) -> list[str]:
-        """Remove servers whose entries did not return in time; returns their ids."""
-        expired = [
-            server.id
-            for server in self.server_by_id.values()
-            if server.grace_until is not None and now > server.grace_until
-        ]
-        for server_id in expired:
-            del self.server_by_id[server_id]
-        if expired:
-            self._regroup()
-        return expired
-
     def set_evacuated(self, domains: Iterable[str], cold_s: float, now: float) -> None:
         """Replace the evacuated domains; servers of domains no longer evacuated start cold."""
         evacuated = set(domains)
--- a/tests/support/virtual.py
+++ b/tests/support/virtual.py
@@ -252,7 +252,7 @@
         for instance in self.instances:
             values_by_kind = {"config": config, "servers": servers, INSTANCE_KIND: listed}
             for kind, values in values_by_kind.items():
-                instance.cache.apply(KindUpdate(kind, 1, True, values))
+                instance.cache.apply(KindUpdate(kind, 1, True, values), 0.0)
 
     def separate(self, groups: int) -> None:
         """Divide the instances into groups by chance."""
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -11,6 +11,7 @@
 from papayalever.cluster.codec import MAX_UNPACKED_BYTES, pack_changes, unpack_changes
 from papayalever.cluster.exceptions import CodecError
 from papayalever.cluster.messages import ACCEPTS_PACKED, KindUpdate, PermitState
+from papayalever.entry.held_objects import HoldPolicy
 from papayalever.entry.shared import UNKNOWN_INSTANCES
 from papayalever.entry.store_cache import MAX_HISTORY, StoreCache
 from papayalever.routing.owners import FIRST_SUSPECT_S, Owners
@@ -33,7 +34,7 @@
     WeightedService,
 )
 from papayalever.routing.server_queue import PermitRequest
-from papayalever.routing.servers import OUTAGE_GRACE_S, Phase, Server, ServerEntry, ServerTable
+from papayalever.routing.servers import Server, ServerEntry, ServerTable
 
 SEED = 11
 UNIX_TIME = 1_800_000_000.0
@@ -128,7 +129,7 @@
         placement = Placement(table, "noord", {"noord": 1})
         claims = [PlacementKey("logboek", f"o{number}", frozenset()) for number in range(300)]
         before = {claim: placement.order(claim, UNIX_TIME)[0].id for claim in claims}
-        table.remove("i-3", False, 0.0)
+        table.remove("i-3")
         after = {claim: placement.order(claim, UNIX_TIME)[0].id for claim in claims}
         moved = [claim for claim in claims if before[claim] != after[claim]]
         self.assertTrue(moved)
@@ -211,22 +212,6 @@
         self.assertTrue(fresh.is_available(6.0))
         self.assertTrue(fresh.is_cold(8.9) and not fresh.is_cold(9.1))
 
-    def test_entry_that_lapsed_in_an_outage_gets_its_grace_and_a_leaving_one_does_not(self):
-        table = table_of({"noord-a": 3})
-        table.put(server_entry(2, phase=Phase.LEAVING), 0.0)
-        table.replace_all([server_entry(3)], True, 10.0)
-        self.assertEqual({"i-1", "i-3"}, set(table.server_by_id))
-        self.assertEqual([], table.drop_expired(10.0 + OUTAGE_GRACE_S - 0.1))
-        self.assertEqual(["i-1"], table.drop_expired(10.0 + OUTAGE_GRACE_S + 0.1))
-        table.replace_all([], False, 20.0)
-        self.assertEqual({}, table.server_by_id)
-
-    def test_lapsed_entry_that_is_written_again_stays(self):
-        table = table_of({"noord-a": 1})
-        table.replace_all([], True, 10.0)
-        table.put(server_entry(1), 11.0)
-        self.assertEqual([], table.drop_expired(20.0))
-
     def test_domain_that_is_taken_back_starts_cold(self):
         table = table_of({"noord-a": 1, "noord-b": 1})
         table.set_evacuated({"noord-a"}, 3.0, 0.0)
@@ -559,21 +544,30 @@
             self.assertLessEqual(taken, 430)
 
 
+NO_HOLD = HoldPolicy(lambda _: 0.0)
+NOW = 10.0
+
+
 class TestStoreCopy(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
         self.taken: list[KindUpdate] = []
-        self.copy = StoreCache(("servers", "config"), lambda update, _: self.taken.append(update))
+        self.copy = StoreCache(
+            {"servers": NO_HOLD, "config": NO_HOLD}, lambda update, _: self.taken.append(update)
+        )
+
+    def apply(self, update: KindUpdate) -> bool:
+        return self.copy.apply(update, NOW)
 
     def test_older_news_are_not_taken(self):
-        self.assertTrue(self.copy.apply(KindUpdate("servers", 9, True, [("a", b"1")])))
-        self.assertFalse(self.copy.apply(KindUpdate("servers", 8, True, [])))
-        self.assertFalse(self.copy.apply(KindUpdate("unknown", 10, True, [])))
+        self.assertTrue(self.apply(KindUpdate("servers", 9, True, [("a", b"1")])))
+        self.assertFalse(self.apply(KindUpdate("servers", 8, True, [])))
+        self.assertFalse(self.apply(KindUpdate("unknown", 10, True, [])))
         self.assertEqual(1, len(self.taken))
 
     def test_follower_gets_changes_or_the_whole(self):
-        self.copy.apply(KindUpdate("servers", 5, True, [("a", b"1")]))
-        self.copy.apply(KindUpdate("servers", 6, False, [("b", b"2")]))
-        self.copy.apply(KindUpdate("servers", 8, False, [("a", None)]))
+        self.apply(KindUpdate("servers", 5, True, [("a", b"1")]))
+        self.apply(KindUpdate("servers", 6, False, [("b", b"2")]))
+        self.apply(KindUpdate("servers", 8, False, [("a", None)]))
         (whole,) = self.copy.updates_since({})
         self.assertEqual(
             (True, 8, [("b", b"2")]), (whole.is_snapshot, whole.position, whole.changes)
@@ -590,13 +584,13 @@
              b'"sequence":%d,"born":1700000000000}' % (number, number * 7))
             for number in range(480)
         ]  # fmt: skip
-        self.copy.apply(KindUpdate("servers", 5, True, changes))
+        self.apply(KindUpdate("servers", 5, True, changes))
         (packed,) = self.copy.updates_since({"servers": -1, ACCEPTS_PACKED: 1})
         self.assertIs(packed, self.copy.updates_since({ACCEPTS_PACKED: 1})[0])
         self.assertEqual(changes, unpack_changes(packed.packed))
         plain = sum(len(name) + len(value) for name, value in changes)
         self.assertLess(len(packed.packed), plain / 4)
-        self.copy.apply(KindUpdate("servers", 6, False, [("i-0000000001", None)]))
+        self.apply(KindUpdate("servers", 6, False, [("i-0000000001", None)]))
         (newer,) = self.copy.updates_since({ACCEPTS_PACKED: 1})
         self.assertEqual((6, 479), (newer.position, len(unpack_changes(newer.packed))))
         # A follower that is little behind gets the changes only.
@@ -611,33 +605,33 @@
                 unpack_changes(packed)
 
     def test_history_is_bounded_and_who_is_behind_gets_the_whole(self):
-        self.copy.apply(KindUpdate("servers", 1, True, []))
+        self.apply(KindUpdate("servers", 1, True, []))
         for revision in range(2, MAX_HISTORY + 50):
-            self.copy.apply(KindUpdate("servers", revision, False, [("a", b"%d" % revision)]))
+            self.apply(KindUpdate("servers", revision, False, [("a", b"%d" % revision)]))
         self.assertTrue(self.copy.updates_since({"servers": 3})[0].is_snapshot)
         self.assertFalse(self.copy.updates_since({"servers": MAX_HISTORY})[0].is_snapshot)
 
     def test_two_copies_agree_after_any_exchange(self):
         chance = Random(SEED)
-        other = StoreCache(("servers", "config"), lambda *_: None)
+        other = StoreCache({"servers": NO_HOLD, "config": NO_HOLD}, lambda *_: None)
         revision = 1
-        self.copy.apply(KindUpdate("servers", revision, True, []))
+        self.apply(KindUpdate("servers", revision, True, []))
         for _ in range(600):
             revision += chance.randint(1, 3)
             value = chance.choice([None, b"%d" % revision])
-            self.copy.apply(
+            self.apply(
                 KindUpdate("servers", revision, False, [(f"n{chance.randint(0, 5)}", value)])
             )
             if chance.random() < 0.2:
                 for update in self.copy.updates_since(other.position_by_kind):
-                    other.apply(update)
+                    other.apply(update, NOW)
         for update in self.copy.updates_since(other.position_by_kind):
-            other.apply(update)
+            other.apply(update, NOW)
         first, second = self.copy.updates_since({}), other.updates_since({})
         self.assertEqual(dict(first[0].changes), dict(second[0].changes))
 
     async def test_waiting_ends_with_a_change(self):
         waiting = asyncio.create_task(self.copy.wait_change(5.0))
         await asyncio.sleep(0)
-        self.copy.apply(KindUpdate("servers", 1, True, [("a", b"1")]))
+        self.apply(KindUpdate("servers", 1, True, [("a", b"1")]))
         await asyncio.wait_for(waiting, 1.0)
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -142,7 +142,7 @@
     async def test_instances_send_on_their_own_until_the_owner_knows_its_servers(self):
         # All instances were killed at once: the owner is up again and has loaded nothing yet.
         owner, owner_table = build_broker("owner", SilentPool())
-        owner_table.replace_all([], False, now())
+        owner_table.replace_all([], now())
         broker, table = build_broker("asker", PoolToOwner(owner))
         server = table.server_by_id["i-1"]
         permits = [await broker.acquire(server, permit_spec()) for _ in range(4)]
@@ -154,7 +154,7 @@
 
     async def test_server_that_the_owner_no_longer_knows_is_refused(self):
         owner, owner_table = build_broker("owner", SilentPool())
-        owner_table.replace_all([server_entry(2)], False, now())
+        owner_table.replace_all([server_entry(2)], now())
         broker, table = build_broker("asker", PoolToOwner(owner))
         refusal = await broker.acquire(table.server_by_id["i-1"], permit_spec())
         self.assertIsInstance(refusal, PermitDecision)
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -7,17 +7,24 @@
 
 from papayalever.cluster.codec import unpack_changes
 from papayalever.cluster.messages import ACCEPTS_PACKED, KindUpdate, PackedSnapshot
+from papayalever.entry.held_objects import HoldPolicy
+from papayalever.entry.hold_policies import HEARTBEATS_PER_LEASE, REWRITE_S, build_hold_policies
 from papayalever.entry.instance import EntryInstance
-from papayalever.entry.store_cache import StoreCache
+from papayalever.entry.state_updates import INSTANCE_KIND
+from papayalever.entry.store_cache import Origin, StoreCache
 from papayalever.entry.store_position import MAX_REVISION, era_of, make_position, revision_of
 from papayalever.entry.watcher import KindWatcher, ReadResult, StoreHealth
+from papayalever.platform.program import build_store_adapter
 
-from .support.platform import LoopLag, configuration
+from .support.platform import REGIONS, LoopLag, configuration, dump
 from .test_entry import PlatformCase
 
 CONFIG_S = 2.0
 """The shortest bound of the deployments within which a configuration is in force everywhere."""
 
+NO_HOLD = HoldPolicy(lambda _: 0.0)
+NOW = 10.0
+
 
 class RestoredCase(PlatformCase):
     async def asyncSetUp(self) -> None:
@@ -177,11 +184,13 @@
     """Two instances, one with the state of the later era at a lower revision."""
 
     def setUp(self) -> None:
-        self.older, self.newer = (StoreCache(("servers",), lambda *_: None) for _ in range(2))
-        self.older.apply(KindUpdate("servers", make_position(1, 90), True, [("a", b"1")]))
-        self.older.apply(KindUpdate("servers", make_position(1, 95), False, [("lost", b"2")]))
-        self.newer.apply(KindUpdate("servers", make_position(2, 60), True, [("a", b"0")]))
-        self.newer.apply(KindUpdate("servers", make_position(2, 61), False, [("b", b"3")]))
+        self.older, self.newer = (
+            StoreCache({"servers": NO_HOLD}, lambda *_: None) for _ in range(2)
+        )
+        self.older.apply(KindUpdate("servers", make_position(1, 90), True, [("a", b"1")]), NOW)
+        self.older.apply(KindUpdate("servers", make_position(1, 95), False, [("lost", b"2")]), NOW)
+        self.newer.apply(KindUpdate("servers", make_position(2, 60), True, [("a", b"0")]), NOW)
+        self.newer.apply(KindUpdate("servers", make_position(2, 61), False, [("b", b"3")]), NOW)
 
     def test_state_of_the_later_era_wins_as_a_whole_plain_or_packed(self):
         for accepts in ({}, {ACCEPTS_PACKED: 1}):
@@ -192,18 +201,18 @@
                 update = KindUpdate("servers", update.position, True, changes)
             self.assertTrue(update.is_snapshot)
             self.assertEqual({"a": b"0", "b": b"3"}, dict(update.changes))
-        self.assertTrue(self.older.apply(update))
+        self.assertTrue(self.older.apply(update, NOW))
         self.assertEqual([], self.newer.updates_since(self.older.position_by_kind))
 
     def test_state_of_the_earlier_era_changes_nothing(self):
         for update in self.older.updates_since({}):
             self.assertFalse(self.newer.is_newer("servers", update.position))
-            self.assertFalse(self.newer.apply(update))
+            self.assertFalse(self.newer.apply(update, NOW))
         self.assertEqual([], self.older.updates_since(self.newer.position_by_kind))
 
     def test_changes_of_another_era_are_not_applied_to_the_objects_of_this_one(self):
         update = KindUpdate("servers", make_position(2, 62), False, [("c", b"4")])
-        self.assertFalse(self.older.apply(update))
+        self.assertFalse(self.older.apply(update, NOW))
         self.assertEqual(make_position(1, 95), self.older.position("servers"))
 
 
@@ -229,8 +238,8 @@
 
 class TestLateAnswers(unittest.IsolatedAsyncioTestCase):
     async def test_answer_of_the_earlier_era_counts_as_no_answer(self):
-        cache = StoreCache(("config",), lambda *_: None)
-        cache.apply(KindUpdate("config", make_position(2, 10), True, []))
+        cache = StoreCache({"config": NO_HOLD}, lambda *_: None)
+        cache.apply(KindUpdate("config", make_position(2, 10), True, []), NOW)
         late = ReadResult([("main", b"old")], make_position(1, 99))
         store = AnsweringStore(late, late, ReadResult([("main", b"new")], make_position(2, 11)))
         health = StoreHealth()
@@ -245,3 +254,191 @@
         task.cancel()
         self.assertTrue(cache.position("config") == make_position(2, 11))
         self.assertIsNone(health.failing_since)
+
+
+HEARTBEAT_S = 1.5
+LEASE_S = (HEARTBEATS_PER_LEASE + 1) * HEARTBEAT_S
+
+
+def server(phase: str = "ready", sequence: int = 1, born: int = 1_700_000_000_000) -> bytes:
+    """A stored entry of a backend server."""
+    return dump(
+        {
+            "service": "logboek",
+            "address": "10.0.0.1:80",
+            "zone": "noord-a",
+            "max_concurrency": 3,
+            "phase": phase,
+            "sequence": sequence,
+            "born": born,
+        }
+    )
+
+
+class HeldCase(unittest.TestCase):
+    """The objects that count at an instance, as its updates say."""
+
+    def setUp(self) -> None:
+        policies = build_hold_policies(build_store_adapter(REGIONS), HEARTBEAT_S)
+        self.values_by_kind: dict[str, dict[str, bytes]] = {kind: {} for kind in policies}
+        self.cache = StoreCache(policies, self.note)
+
+    def note(self, update: KindUpdate, _origin: Origin) -> None:
+        values = {} if update.is_snapshot else self.values_by_kind[update.kind]
+        for name, value in update.changes:
+            values.pop(name, None)
+            if value is not None:
+                values[name] = value
+        self.values_by_kind[update.kind] = values
+
+    def read(self, kind: str, values: dict[str, bytes], era: int, revision: int, **fields) -> None:
+        """A list of all objects at ``now``, 0 if the test does not care."""
+        now, is_after_outage = fields.get("now", 0.0), fields.get("is_after_outage", False)
+        changes = list(values.items())
+        position = make_position(era, revision)
+        self.cache.apply(KindUpdate(kind, position, True, changes, is_after_outage), now)
+
+    def write(self, kind: str, name: str, value: bytes | None, era: int, revision: int) -> None:
+        update = KindUpdate(kind, make_position(era, revision), False, [(name, value)])
+        self.cache.apply(update, 1.0)
+
+
+class TestLapsedEntries(HeldCase):
+    def test_entry_that_lapsed_in_an_outage_gets_its_grace_and_a_leaving_one_does_not(self):
+        ready, leaving = server(), server("draining")
+        self.read("servers", {"i-1": ready, "i-2": leaving, "i-3": ready}, 0, 5)
+        self.read("servers", {"i-3": ready}, 0, 6, now=10.0, is_after_outage=True)
+        self.assertEqual({"i-1", "i-3"}, set(self.values_by_kind["servers"]))
+        self.cache.release_held(10.0 + REWRITE_S - 0.1)
+        self.assertEqual({"i-1", "i-3"}, set(self.values_by_kind["servers"]))
+        self.cache.release_held(10.0 + REWRITE_S + 0.1)
+        self.assertEqual({"i-3"}, set(self.values_by_kind["servers"]))
+        self.read("servers", {}, 0, 7, now=20.0)
+        self.assertEqual({}, self.values_by_kind["servers"])
+
+    def test_lapsed_entry_that_is_written_again_stays(self):
+        self.read("servers", {"i-1": server()}, 0, 5)
+        self.read("servers", {}, 0, 6, now=0.5, is_after_outage=True)
+        self.write("servers", "i-1", server(sequence=9), 0, 7)
+        self.cache.release_held(20.0)
+        self.assertEqual({"i-1": server(sequence=9)}, self.values_by_kind["servers"])
+
+
+class TestHeldAgainstCopy(HeldCase):
+    def restore(self, kind: str, known: dict, copy: dict) -> dict[str, bytes]:
+        """What counts of a kind after the store restored a copy at second 0."""
+        self.read(kind, known, 1, 90, now=-1.0)
+        self.read(kind, copy, 2, 60)
+        return self.values_by_kind[kind]
+
+    def test_server_that_the_copy_lacks_counts_until_it_had_time_to_register_again(self):
+        self.assertEqual({"i-1"}, set(self.restore("servers", {"i-1": server()}, {})))
+        self.cache.release_held(REWRITE_S - 0.1)
+        self.assertEqual({"i-1"}, set(self.values_by_kind["servers"]))
+        self.cache.release_held(REWRITE_S)
+        self.assertEqual({}, self.values_by_kind["servers"])
+
+    def test_server_that_left_is_not_used_unless_it_outlives_its_lease_in_the_copy(self):
+        self.read("servers", {"i-1": server()}, 1, 80, now=-2.0)
+        self.assertEqual({}, self.restore("servers", {}, {"i-1": server()}))
+        self.cache.release_held(LEASE_S - 0.1)
+        self.assertEqual({}, self.values_by_kind["servers"])
+        self.cache.release_held(LEASE_S)
+        self.assertEqual({"i-1": server()}, self.values_by_kind["servers"])
+
+    def test_server_that_left_comes_back_at_once_as_another_incarnation(self):
+        self.read("servers", {"i-1": server()}, 1, 80, now=-2.0)
+        self.assertEqual({}, self.restore("servers", {}, {"i-1": server()}))
+        reborn = server(born=1_800_000_000_000)
+        self.write("servers", "i-1", reborn, 2, 61)
+        self.assertEqual({"i-1": reborn}, self.values_by_kind["servers"])
+
+    def test_leaving_server_that_is_ready_in_the_copy_stays_leaving(self):
+        leaving = {"i-1": server("draining", 7)}
+        self.assertEqual(leaving, self.restore("servers", leaving, {"i-1": server("ready", 2)}))
+        self.cache.release_held(LEASE_S - 0.1)
+        self.assertEqual(leaving, self.values_by_kind["servers"])
+
+    def test_entries_that_are_newer_than_what_was_known_count_at_once(self):
+        leaving = {"i-1": server("draining", 7), "i-2": server()}
+        self.assertEqual(leaving, self.restore("servers", {"i-1": server("ready", 2)}, leaving))
+
+    def test_malformed_entry_in_the_copy_hides_no_known_one(self):
+        known = {"i-1": server()}
+        self.assertEqual(known, self.restore("servers", known, {"i-1": b"{}"}))
+
+    def test_evacuation_that_began_or_ended_counts_until_it_had_time_to_be_written_again(self):
+        self.read("evacuations", {"noord-b": b"{}"}, 1, 80, now=-2.0)
+        known = self.restore("evacuations", {"noord-a": b"{}"}, {"noord-b": b"{}"})
+        self.assertEqual({"noord-a"}, set(known))
+        self.cache.release_held(REWRITE_S)
+        self.assertEqual({"noord-b"}, set(self.values_by_kind["evacuations"]))
+
+    def test_configuration_is_never_replaced_by_an_older_one(self):
+        def config(version: int) -> dict[str, bytes]:
+            return {"main": dump(configuration(version))}
+
+        self.assertEqual(config(12), self.restore("config", config(12), config(7)))
+        self.cache.release_held(3600.0)
+        self.write("config", "main", config(9)["main"], 2, 61)
+        self.write("config", "main", None, 2, 62)
+        self.write("config", "main", b"[]", 2, 63)
+        self.assertEqual(config(12), self.values_by_kind["config"])
+        self.write("config", "main", config(12)["main"], 2, 64)
+        self.write("config", "main", config(13)["main"], 2, 65)
+        self.assertEqual(config(13), self.values_by_kind["config"])
+
+    def test_configuration_of_the_copy_counts_where_it_is_newer(self):
+        newer = {"main": dump(configuration(9))}
+        older = {"main": dump(configuration(7))}
+        self.assertEqual(newer, self.restore("config", older, newer))
+
+    def test_instances_count_while_they_register_again(self):
+        entries = {"edge-1": b'{"started_ms":1}', "edge-2": b'{"started_ms":2}'}
+        self.assertEqual(entries, self.restore(INSTANCE_KIND, entries, {}))
+        self.cache.release_held(5.0)
+        self.assertEqual(entries, self.values_by_kind[INSTANCE_KIND])
+        self.cache.release_held(10.0)
+        self.assertEqual({}, self.values_by_kind[INSTANCE_KIND])
+
+    def test_deleted_objects_of_our_own_stay_deleted_and_are_named(self):
+        self.read(INSTANCE_KIND, {"edge-1": b"{}"}, 1, 80, now=-2.0)
+        self.assertEqual({}, self.restore(INSTANCE_KIND, {}, {"edge-1": b"{}"}))
+        self.cache.release_held(3600.0)
+        self.assertEqual({}, self.values_by_kind[INSTANCE_KIND])
+        self.assertEqual(["edge-1"], self.cache.returned_names(INSTANCE_KIND))
+        self.write(INSTANCE_KIND, "edge-1", None, 2, 61)
+        self.assertEqual([], self.cache.returned_names(INSTANCE_KIND))
+
+    def test_second_restore_starts_the_time_anew(self):
+        self.restore("servers", {"i-1": server()}, {})
+        self.read("servers", {}, 3, 40, now=1.0)
+        self.cache.release_held(REWRITE_S)
+        self.assertEqual({"i-1"}, set(self.values_by_kind["servers"]))
+        self.cache.release_held(1.0 + REWRITE_S)
+        self.assertEqual({}, self.values_by_kind["servers"])
+
+    def test_list_without_a_restore_is_the_whole_truth(self):
+        self.read("servers", {"i-1": server()}, 1, 90)
+        self.read("servers", {"i-2": server()}, 1, 91)
+        self.assertEqual({"i-2"}, set(self.values_by_kind["servers"]))
+
+
+class TestCallersBesideARestore(RestoredCase):
+    async def test_leaving_and_gone_servers_get_nothing_and_a_new_one_is_still_used(self):
+        gone, leaving = await self.platform.add_server(), await self.platform.add_server()
+        (instance,) = await self.start("noord-a")
+        copy = self.store.copy()
+        joined = await self.platform.add_server()
+        self.store.put("servers", leaving.id, leaving.entry(phase="draining", sequence=2))
+        self.store.drop("servers", gone.id)
+        by_id = instance.shared.servers.server_by_id
+        await self.platform.wait(lambda: set(by_id) == {leaving.id, joined.id}, "it is known")
+        self.store.restore(copy)
+        await self.platform.wait(
+            lambda: era_of(instance.cache.position("servers")) == 2, "the copy was read"
+        )
+        for number in range(8):
+            reply = await self.platform.ask(instance, f"/lookup/{number}", key=f"o{number}")
+            self.assertEqual(200, reply.status)
+        self.assertEqual((0, 8, 0), tuple(len(item.seen) for item in (gone, joined, leaving)))
