Send on what an instance holds against the store's state

Instances of earlier builds get no message that they do not know.

An instance that reads the store itself at its start still takes the bare copy.

--- a/papayalever/cluster/codec.py
+++ b/papayalever/cluster/codec.py
@@ -50,6 +50,7 @@
     messages.PermitReply,
     messages.ReleasePermit,
     messages.PackedSnapshot,
+    messages.HeldState,
 )
 """The position of a class determines its tag."""
 TYPE_BY_TAG = {FIRST_TAG + index: cls for index, cls in enumerate(MESSAGE_TYPES)}
--- a/papayalever/cluster/messages.py
+++ b/papayalever/cluster/messages.py
@@ -9,6 +9,9 @@
 from enum import StrEnum
 
 ACCEPTS_PACKED = "#packed"
+ACCEPTS_HELD = "#held"
+NO_TIME_LIMIT = -1
+"""Time left of an object that is held until it is written again."""
 NO_LIMIT = -1.0
 """Rate of a backend server that names no limit."""
 NO_REPORT = -1
@@ -330,14 +333,30 @@
     """The compressed changes of a snapshot, as `cluster.codec.pack_changes` encodes them."""
 
 
+@dataclass(frozen=True, slots=True)
+class HeldState:
+    """Objects that count at the sender although the store's state lacks them or differs.
+
+    Sent together with a snapshot of the kind, and only to instances that accept it.
+    """
+
+    kind: str
+    position: int
+    """Position of the snapshot."""
+    known_position: int
+    """Position up to which the sender knew the objects before it received that state."""
+    objects: list[tuple[str, bytes | None, int]]
+    """Name, value (None if deleted) and milliseconds left, or `NO_TIME_LIMIT`."""
+
+
 @dataclass(frozen=True, slots=True)
 class Follow:
     """Long poll of another instance for store changes; also shows that ``instance`` is alive."""
 
     instance: str
     position_by_kind: dict[str, int]
-    """Positions of the sender; the key `ACCEPTS_PACKED` shows that it accepts `PackedSnapshot`, as
-    earlier versions reject messages with more fields."""
+    """Positions of the sender; the keys `ACCEPTS_PACKED` and `ACCEPTS_HELD` show that it accepts
+    `PackedSnapshot` and `HeldState`, as earlier versions reject messages that they do not know."""
     wait_ms: int
     """Time that the receiver may wait for changes before it replies."""
 
@@ -348,7 +367,7 @@
 
     is_current: bool
     """Whether the data is recent: its sender reads the store or follows an instance that does."""
-    updates: list[KindUpdate | PackedSnapshot]
+    updates: list[KindUpdate | PackedSnapshot | HeldState]
     age_ms: int = 0
     """Time since the last contact with the store that the replying instance's data reflects."""
     started_ms: int = 0
--- a/papayalever/entry/follower.py
+++ b/papayalever/entry/follower.py
@@ -13,9 +13,11 @@
 from ..cluster.exceptions import CodecError, PeerUnreachableError
 from ..cluster.links import LinkPool
 from ..cluster.messages import (
+    ACCEPTS_HELD,
     ACCEPTS_PACKED,
     Follow,
     FollowReply,
+    HeldState,
     KindUpdate,
     PackedSnapshot,
 )
@@ -224,10 +226,10 @@
     async def handle_follow(self, message: Follow) -> FollowReply:
         """Reply with the updates since the sender's positions, or after a wait with none."""
         self.tree.clear_suspect(message.instance)
-        updates = self._cache.updates_since(message.position_by_kind)
+        updates = self._cache.updates_since(message.position_by_kind, now())
         if not updates and self.is_current:
             await self._cache.wait_change(message.wait_ms / 1000)
-            updates = self._cache.updates_since(message.position_by_kind)
+            updates = self._cache.updates_since(message.position_by_kind, now())
         age_s = self._age_s()
         is_current = age_s < MAX_AGE_S and not self.is_leaving and not self._is_store_failing
         age_ms = int(min(age_s, MAX_AGE_S) * 1000)
@@ -323,7 +325,7 @@
         self._age_at_contact_s = age_s
 
     async def _poll(self, address: str, wait_s: float = LONG_POLL_S) -> FollowReply | None:
-        positions = self._cache.position_by_kind | {ACCEPTS_PACKED: 1}
+        positions = self._cache.position_by_kind | {ACCEPTS_PACKED: 1, ACCEPTS_HELD: 1}
         request = Follow(self.tree.own.name, positions, int(wait_s * 1000))
         try:
             reply = await self._pool.request(address, request, REPLY_TIMEOUT_S)
@@ -333,7 +335,10 @@
 
     def _apply(self, reply: FollowReply, sender: str) -> None:
         origin = Origin(sender, reply.age_ms / 1000)
+        held_by_kind = {item.kind: item for item in reply.updates if isinstance(item, HeldState)}
         for update in reply.updates:
+            if isinstance(update, HeldState):
+                continue
             if not self._cache.is_newer(update.kind, update.position):
                 continue
             if isinstance(update, PackedSnapshot):
@@ -343,7 +348,7 @@
                     log.warning("snapshot rejected", kind=update.kind, error=str(error))
                     continue
                 update = KindUpdate(update.kind, update.position, True, changes)
-            self._cache.apply(update, now(), origin)
+            self._cache.apply(update, now(), origin, held_by_kind.get(update.kind))
 
     def _start_reading(self) -> None:
         if not self._tasks:
--- a/papayalever/entry/held_objects.py
+++ b/papayalever/entry/held_objects.py
@@ -5,15 +5,20 @@
 written again or the time is over.
 """
 
+import math
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
+from ..cluster.messages import NO_TIME_LIMIT
+
 DELETED_S = 60.0
 MAX_DELETIONS = 2000
 """Age and number of the deletions that are remembered; copies are some seconds old."""
 
 Value = bytes | None
 """A stored value, or None if the object does not exist."""
+HeldObject = tuple[str, Value, int]
+"""Name, value and milliseconds left, as in `HeldState`."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +63,25 @@
             if value != stored.get(name) and not self._is_newer(value, stored.get(name)):
                 self.held_by_name[name] = Held(value, now + self.policy.duration_s(value))
 
+    def take_over(self, objects: list[HeldObject], stored: Mapping[str, bytes], now: float) -> None:
+        """Hold what another instance holds against the same state of the store."""
+        self.held_by_name = {
+            name: Held(value, math.inf if left_ms == NO_TIME_LIMIT else now + left_ms / 1000)
+            for name, value, left_ms in objects
+            if value != stored.get(name)
+        }
+
+    def describe(self, now: float) -> list[HeldObject]:
+        """The held objects for another instance."""
+        return [
+            (
+                name,
+                held.value,
+                NO_TIME_LIMIT if held.until == math.inf else max(0, int((held.until - now) * 1000)),
+            )
+            for name, held in self.held_by_name.items()
+        ]
+
     def hold_lapsed(
         self, known: Mapping[str, bytes], stored: Mapping[str, bytes], now: float
     ) -> None:
--- a/papayalever/entry/store_cache.py
+++ b/papayalever/entry/store_cache.py
@@ -8,7 +8,7 @@
 import logbook
 
 from ..cluster.codec import pack_changes
-from ..cluster.messages import ACCEPTS_PACKED, KindUpdate, PackedSnapshot
+from ..cluster.messages import ACCEPTS_HELD, ACCEPTS_PACKED, HeldState, KindUpdate, PackedSnapshot
 from .held_objects import HeldObjects, HoldPolicy
 from .store_position import NEVER_READ, era_of, revision_of
 
@@ -31,6 +31,7 @@
 
 STORE_ORIGIN = "store"
 FROM_STORE = Origin(STORE_ORIGIN)
+Update = KindUpdate | PackedSnapshot | HeldState
 OnUpdate = Callable[[KindUpdate, Origin], None]
 
 
@@ -46,17 +47,30 @@
     history: deque[KindUpdate] = field(default_factory=lambda: deque(maxlen=MAX_HISTORY))
     base_position: int = NEVER_READ
     """Position that the oldest update of ``history`` builds on."""
+    known_position: int = NEVER_READ
+    """Position up to which the held objects were known."""
     packed: PackedSnapshot | None = None
     """The latest packed snapshot, which all followers that start at the same time get."""
 
-    def replace_all(self, update: KindUpdate, is_new_era: bool, now: float) -> None:
-        """Store all objects of a snapshot, and hold what it lacks for now."""
+    def replace_all(
+        self, update: KindUpdate, is_new_era: bool, sent: HeldState | None, now: float
+    ) -> None:
+        """Store all objects of a snapshot, and hold what it lacks for now.
+
+        ``sent`` is what the sender of the snapshot holds.
+        """
         known, stored_before = self.held.overlay(self.value_by_name), self.value_by_name
+        known_position = self.position
         self.value_by_name = {name: value for name, value in update.changes if value is not None}
         self.history.clear()
         self.position = self.base_position = update.position
+        if sent and sent.position == update.position and sent.known_position >= known_position:
+            self.held.take_over(sent.objects, self.value_by_name, now)
+            self.known_position = sent.known_position
+            return
         if is_new_era:
             self.held.hold_against_copy(known, self.value_by_name, now)
+            self.known_position = known_position
             return
         for name in stored_before.keys() | self.held.held_by_name.keys():
             stored = self.value_by_name.get(name)
@@ -64,6 +78,7 @@
                 self.held.note_write(name, stored, now)
         if update.is_after_outage:
             self.held.hold_lapsed(known, self.value_by_name, now)
+            self.known_position = known_position
 
     def apply_changes(self, update: KindUpdate, now: float) -> None:
         """Store the changed objects and keep the changes for followers."""
@@ -78,6 +93,10 @@
             self.held.note_write(name, value, now)
         self.position = update.position
 
+    def describe_held(self, now: float) -> HeldState:
+        """What is held, for a follower that gets a snapshot."""
+        return HeldState(self.kind, self.position, self.known_position, self.held.describe(now))
+
     def without_held(self, update: KindUpdate) -> KindUpdate:
         """The update as it counts here: without changes of objects that are held."""
         held_by_name = self.held.held_by_name
@@ -139,8 +158,17 @@
         held_by_name = self._cache_by_kind[kind].held.held_by_name
         return [name for name, held in held_by_name.items() if held.value is None]
 
-    def apply(self, update: KindUpdate, now: float, origin: Origin = FROM_STORE) -> bool:
-        """Apply an update unless it is older than the cache; returns whether it was applied."""
+    def apply(
+        self,
+        update: KindUpdate,
+        now: float,
+        origin: Origin = FROM_STORE,
+        sent: HeldState | None = None,
+    ) -> bool:
+        """Apply an update unless it is older than the cache; returns whether it was applied.
+
+        ``sent`` is what the sender of a snapshot holds.
+        """
         cache = self._cache_by_kind.get(update.kind)
         if cache is None or update.position < cache.position:
             return False
@@ -154,7 +182,7 @@
             cache.position = update.position
             return True
         if update.is_snapshot:
-            cache.replace_all(update, is_new_era, now)
+            cache.replace_all(update, is_new_era, sent, now)
         else:
             cache.apply_changes(update, now)
         if is_new_era:
@@ -187,14 +215,17 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    def updates_since(self, position_by_kind: dict[str, int]) -> list[KindUpdate | PackedSnapshot]:
+    def updates_since(self, position_by_kind: dict[str, int], now: float) -> list[Update]:
         """Updates for a follower that has the given positions."""
-        updates: list[KindUpdate | PackedSnapshot] = []
+        updates: list[Update] = []
         accepts_packed = ACCEPTS_PACKED in position_by_kind
+        accepts_held = ACCEPTS_HELD in position_by_kind
         for kind, cache in self._cache_by_kind.items():
             known = position_by_kind.get(kind, NEVER_READ)
             if known >= cache.position:
                 continue
+            if known < cache.base_position and accepts_held and cache.held.held_by_name:
+                updates.append(cache.describe_held(now))
             if known < cache.base_position and accepts_packed:
                 updates.append(cache.pack())
                 continue
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -568,13 +568,13 @@
         self.apply(KindUpdate("servers", 5, True, [("a", b"1")]))
         self.apply(KindUpdate("servers", 6, False, [("b", b"2")]))
         self.apply(KindUpdate("servers", 8, False, [("a", None)]))
-        (whole,) = self.copy.updates_since({})
+        (whole,) = self.copy.updates_since({}, NOW)
         self.assertEqual(
             (True, 8, [("b", b"2")]), (whole.is_snapshot, whole.position, whole.changes)
         )
-        (later,) = self.copy.updates_since({"servers": 6, "config": 0})
+        (later,) = self.copy.updates_since({"servers": 6, "config": 0}, NOW)
         self.assertEqual((False, [("a", None)]), (later.is_snapshot, later.changes))
-        self.assertEqual([], self.copy.updates_since({"servers": 8}))
+        self.assertEqual([], self.copy.updates_since({"servers": 8}, NOW))
 
     def test_follower_that_accepts_it_gets_the_whole_packed_once_for_all(self):
         # All instances restart at once and ask the same few for 480 servers of about 250 bytes.
@@ -585,16 +585,16 @@
             for number in range(480)
         ]  # fmt: skip
         self.apply(KindUpdate("servers", 5, True, changes))
-        (packed,) = self.copy.updates_since({"servers": -1, ACCEPTS_PACKED: 1})
-        self.assertIs(packed, self.copy.updates_since({ACCEPTS_PACKED: 1})[0])
+        (packed,) = self.copy.updates_since({"servers": -1, ACCEPTS_PACKED: 1}, NOW)
+        self.assertIs(packed, self.copy.updates_since({ACCEPTS_PACKED: 1}, NOW)[0])
         self.assertEqual(changes, unpack_changes(packed.packed))
         plain = sum(len(name) + len(value) for name, value in changes)
         self.assertLess(len(packed.packed), plain / 4)
         self.apply(KindUpdate("servers", 6, False, [("i-0000000001", None)]))
-        (newer,) = self.copy.updates_since({ACCEPTS_PACKED: 1})
+        (newer,) = self.copy.updates_since({ACCEPTS_PACKED: 1}, NOW)
         self.assertEqual((6, 479), (newer.position, len(unpack_changes(newer.packed))))
         # A follower that is little behind gets the changes only.
-        (later,) = self.copy.updates_since({"servers": 5, ACCEPTS_PACKED: 1})
+        (later,) = self.copy.updates_since({"servers": 5, ACCEPTS_PACKED: 1}, NOW)
         self.assertEqual([("i-0000000001", None)], later.changes)
 
     def test_packed_bytes_that_are_no_snapshot_are_rejected(self):
@@ -608,8 +608,8 @@
         self.apply(KindUpdate("servers", 1, True, []))
         for revision in range(2, MAX_HISTORY + 50):
             self.apply(KindUpdate("servers", revision, False, [("a", b"%d" % revision)]))
-        self.assertTrue(self.copy.updates_since({"servers": 3})[0].is_snapshot)
-        self.assertFalse(self.copy.updates_since({"servers": MAX_HISTORY})[0].is_snapshot)
+        self.assertTrue(self.copy.updates_since({"servers": 3}, NOW)[0].is_snapshot)
+        self.assertFalse(self.copy.updates_since({"servers": MAX_HISTORY}, NOW)[0].is_snapshot)
 
     def test_two_copies_agree_after_any_exchange(self):
         chance = Random(SEED)
@@ -623,11 +623,11 @@
                 KindUpdate("servers", revision, False, [(f"n{chance.randint(0, 5)}", value)])
             )
             if chance.random() < 0.2:
-                for update in self.copy.updates_since(other.position_by_kind):
+                for update in self.copy.updates_since(other.position_by_kind, NOW):
                     other.apply(update, NOW)
-        for update in self.copy.updates_since(other.position_by_kind):
+        for update in self.copy.updates_since(other.position_by_kind, NOW):
             other.apply(update, NOW)
-        first, second = self.copy.updates_since({}), other.updates_since({})
+        first, second = self.copy.updates_since({}, NOW), other.updates_since({}, NOW)
         self.assertEqual(dict(first[0].changes), dict(second[0].changes))
 
     async def test_waiting_ends_with_a_change(self):
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -6,7 +6,13 @@
 from random import Random
 
 from papayalever.cluster.codec import unpack_changes
-from papayalever.cluster.messages import ACCEPTS_PACKED, KindUpdate, PackedSnapshot
+from papayalever.cluster.messages import (
+    ACCEPTS_HELD,
+    ACCEPTS_PACKED,
+    HeldState,
+    KindUpdate,
+    PackedSnapshot,
+)
 from papayalever.entry.held_objects import HoldPolicy
 from papayalever.entry.hold_policies import HEARTBEATS_PER_LEASE, REWRITE_S, build_hold_policies
 from papayalever.entry.instance import EntryInstance
@@ -194,7 +200,7 @@
 
     def test_state_of_the_later_era_wins_as_a_whole_plain_or_packed(self):
         for accepts in ({}, {ACCEPTS_PACKED: 1}):
-            (update,) = self.newer.updates_since(self.older.position_by_kind | accepts)
+            (update,) = self.newer.updates_since(self.older.position_by_kind | accepts, NOW)
             self.assertTrue(self.older.is_newer("servers", update.position))
             if isinstance(update, PackedSnapshot):
                 changes = unpack_changes(update.packed)
@@ -202,13 +208,13 @@
             self.assertTrue(update.is_snapshot)
             self.assertEqual({"a": b"0", "b": b"3"}, dict(update.changes))
         self.assertTrue(self.older.apply(update, NOW))
-        self.assertEqual([], self.newer.updates_since(self.older.position_by_kind))
+        self.assertEqual([], self.newer.updates_since(self.older.position_by_kind, NOW))
 
     def test_state_of_the_earlier_era_changes_nothing(self):
-        for update in self.older.updates_since({}):
+        for update in self.older.updates_since({}, NOW):
             self.assertFalse(self.newer.is_newer("servers", update.position))
             self.assertFalse(self.newer.apply(update, NOW))
-        self.assertEqual([], self.older.updates_since(self.newer.position_by_kind))
+        self.assertEqual([], self.older.updates_since(self.newer.position_by_kind, NOW))
 
     def test_changes_of_another_era_are_not_applied_to_the_objects_of_this_one(self):
         update = KindUpdate("servers", make_position(2, 62), False, [("c", b"4")])
@@ -424,6 +430,77 @@
         self.assertEqual({"i-2"}, set(self.values_by_kind["servers"]))
 
 
+class TestSentOn(unittest.TestCase):
+    """What one instance holds and sends to another, plain or packed."""
+
+    def setUp(self) -> None:
+        policies = build_hold_policies(build_store_adapter(REGIONS), HEARTBEAT_S)
+        self.sender, self.receiver = (StoreCache(policies, lambda *_: None) for _ in range(2))
+        self.config = {version: dump(configuration(version)) for version in (7, 12)}
+        self.apply(self.sender, "config", 1, 90, main=self.config[12])
+        self.apply(self.sender, "servers", 1, 90, joined=server())
+
+    def apply(self, cache: StoreCache, kind: str, era: int, revision: int, **values) -> None:
+        changes = list(values.items())
+        cache.apply(KindUpdate(kind, make_position(era, revision), True, changes), NOW)
+
+    def restore(self) -> None:
+        self.apply(self.sender, "config", 2, 60, main=self.config[7])
+        self.apply(self.sender, "servers", 2, 60)
+
+    def send(self, accepts: dict, now: float = NOW) -> None:
+        updates = self.sender.updates_since(self.receiver.position_by_kind | accepts, now)
+        sent = {item.kind: item for item in updates if isinstance(item, HeldState)}
+        for update in updates:
+            if isinstance(update, PackedSnapshot):
+                changes = unpack_changes(update.packed)
+                update = KindUpdate(update.kind, update.position, True, changes)
+            if isinstance(update, KindUpdate):
+                self.receiver.apply(update, now, sent=sent.get(update.kind))
+
+    def values(self, kind: str) -> dict[str, bytes]:
+        cache = self.receiver._cache_by_kind[kind]
+        return cache.held.overlay(cache.value_by_name)
+
+    def test_instance_that_starts_after_the_restore_gets_the_newer_configuration(self):
+        self.restore()
+        for accepts in ({ACCEPTS_HELD: 1}, {ACCEPTS_HELD: 1, ACCEPTS_PACKED: 1}):
+            with self.subTest(accepts=accepts):
+                self.receiver = StoreCache(
+                    build_hold_policies(build_store_adapter(REGIONS), HEARTBEAT_S), lambda *_: None
+                )
+                self.send(accepts)
+                self.assertEqual({"main": self.config[12]}, self.values("config"))
+
+    def test_time_that_is_left_counts_at_the_receiver(self):
+        self.restore()
+        self.send({ACCEPTS_HELD: 1}, NOW + 1.0)
+        self.assertEqual({"joined"}, set(self.values("servers")))
+        self.receiver.release_held(NOW + REWRITE_S - 0.1)
+        self.assertEqual({"joined"}, set(self.values("servers")))
+        self.receiver.release_held(NOW + REWRITE_S + 0.1)
+        self.assertEqual({}, self.values("servers"))
+        self.assertEqual({"main": self.config[12]}, self.values("config"))
+
+    def test_receiver_that_knew_more_holds_its_own(self):
+        self.apply(self.receiver, "servers", 1, 95, joined=server(), later=server())
+        self.restore()
+        self.send({ACCEPTS_HELD: 1})
+        self.assertEqual({"joined", "later"}, set(self.values("servers")))
+
+    def test_entries_that_lapsed_in_an_outage_are_kept_by_followers_too(self):
+        self.send({ACCEPTS_HELD: 1, ACCEPTS_PACKED: 1})
+        update = KindUpdate("servers", make_position(1, 91), True, [], True)
+        self.sender.apply(update, NOW)
+        self.send({ACCEPTS_HELD: 1, ACCEPTS_PACKED: 1})
+        self.assertEqual({"joined"}, set(self.values("servers")))
+
+    def test_instances_of_earlier_builds_get_no_message_that_they_do_not_know(self):
+        self.restore()
+        updates = self.sender.updates_since({ACCEPTS_PACKED: 1}, NOW)
+        self.assertEqual({PackedSnapshot}, {type(item) for item in updates})
+
+
 class TestCallersBesideARestore(RestoredCase):
     async def test_leaving_and_gone_servers_get_nothing_and_a_new_one_is_still_used(self):
         gone, leaving = await self.platform.add_server(), await self.platform.add_server()
@@ -442,3 +519,31 @@
             reply = await self.platform.ask(instance, f"/lookup/{number}", key=f"o{number}")
             self.assertEqual(200, reply.status)
         self.assertEqual((0, 8, 0), tuple(len(item.seen) for item in (gone, joined, leaving)))
+
+    async def test_instance_that_starts_beside_the_restore_serves_by_the_newer_configuration(self):
+        (running,) = await self.start("noord-a")
+        copy = self.store.copy()
+        self.put_config(8)
+        await self.time_config(8, [running])
+        self.store.restore(copy)
+        await self.platform.wait(
+            lambda: era_of(running.cache.position("config")) == 2, "the copy was read"
+        )
+        late = await self.platform.add_instance("noord-b", running.settings.peer_listener)
+        await self.platform.wait(lambda: late.is_ready, "ready")
+        self.assertEqual(8, late.shared.routes.version)
+
+    async def test_followers_keep_a_server_whose_entry_lapsed_while_the_store_was_away(self):
+        server = await self.platform.add_server()
+        instances = await self.start("noord-a", "noord-b")
+        self.store.down_for = lambda host: True
+        await asyncio.sleep(1.5)
+        self.store.drop("servers", server.id)
+        self.store.down_for = lambda host: False
+        await self.platform.wait(
+            lambda: len({item.cache.position("servers") for item in instances}) == 1
+            and not instances[0].cache.stored_value("servers", server.id),
+            "both know that the entry lapsed",
+        )
+        for item in instances:
+            self.assertIn(server.id, item.shared.servers.server_by_id)
