List all kinds once one of them shows a later era

Callers could be served by state that the store had lost, for up to 17 s: if the store restored a copy so quickly that no call failed, or the lost revisions were given out again, a watch of a kind went on waiting until its time was over, although another kind had shown the later era. Now the watches of the other kinds end with that, and their kinds are listed.

Test: test_restored_store.TestOrder.test_all_kinds_are_read_again_once_one_of_them_ shows_a_later_era, failed before, passes now.

--- a/papayalever/entry/store_cache.py
+++ b/papayalever/entry/store_cache.py
@@ -140,6 +140,11 @@
         """Cached position of each kind, `NEVER_READ` for a kind that was never read."""
         return {kind: cache.position for kind, cache in self._cache_by_kind.items()}
 
+    @property
+    def era(self) -> int:
+        """The latest era of any kind, -1 if none was read yet."""
+        return max(era_of(cache.position) for cache in self._cache_by_kind.values())
+
     def position(self, kind: str) -> int:
         """Cached position of a kind, `NEVER_READ` if it was never read."""
         return self._cache_by_kind[kind].position
@@ -240,6 +245,11 @@
                 updates.append(KindUpdate(kind, cache.position, False, changes, is_after_outage))
         return updates
 
+    async def wait_later_era(self, era: int) -> None:
+        """Wait until some kind is read in a later era."""
+        while self.era <= era:
+            await self._changed.wait()
+
     async def wait_change(self, timeout_s: float) -> None:
         """Wait until an update is applied or the timeout is over."""
         try:
--- a/papayalever/entry/watcher.py
+++ b/papayalever/entry/watcher.py
@@ -132,13 +132,14 @@
         """Make one call to the store; returns whether it brought changes or all objects."""
         loop = asyncio.get_running_loop()
         known = self._cache.position(self.kind)
-        is_snapshot = known == NEVER_READ or self._is_history_expired or is_probe
+        is_other_era = era_of(known) < self._cache.era
+        is_snapshot = known == NEVER_READ or self._is_history_expired or is_other_era or is_probe
         try:
             if is_snapshot:
                 result = await self._store.list_all(self.kind)
             else:
                 wait_s = self._wait_s if self.is_connected else min(self._wait_s, FIRST_WAIT_S)
-                result = await self._store.watch(self.kind, known, wait_s)
+                result = await self._watch(known, wait_s)
             _check_order(result, known)
         except HistoryExpiredError:
             log.info(
@@ -167,6 +168,19 @@
         )
         return is_snapshot or bool(result.changes)
 
+    async def _watch(self, known: int, wait_s: float) -> ReadResult:
+        """Watch the kind; `HistoryExpiredError` as soon as another kind is known in a later era."""
+        watch = asyncio.ensure_future(self._store.watch(self.kind, known, wait_s))
+        later_era = asyncio.ensure_future(self._cache.wait_later_era(era_of(known)))
+        try:
+            await asyncio.wait({watch, later_era}, return_when=asyncio.FIRST_COMPLETED)
+            if not watch.done():
+                raise HistoryExpiredError(f"watch {self.kind}: the store restored a copy")
+            return watch.result()
+        finally:
+            watch.cancel()
+            later_era.cancel()
+
 
 def _check_order(result: ReadResult, known: int) -> None:
     """Raise `StoreAccessError` if a response is older than what was known when the call began."""
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -93,6 +93,17 @@
             self.store.put("servers", f"i-new-{number}", self.entry(number + 10))
         await self.wait_servers(instances)
 
+    async def test_all_kinds_are_read_again_once_one_of_them_shows_a_later_era(self):
+        # Nothing is cut, and the watched revisions exist: no call fails.
+        (instance,) = await self.start("noord-a")
+        self.store.era = "2"
+        self.put_config(8)
+        took_s = await self.time_until(lambda: self.eras(instance) == {2}, "all kinds are read")
+        self.assertLess(took_s, CONFIG_S)
+
+    def eras(self, instance: EntryInstance) -> set[int]:
+        return {era_of(position) for position in instance.cache.position_by_kind.values()}
+
     async def test_two_restores_and_an_instance_that_starts_beside_them(self):
         instances = await self.start("noord-a", "midden-a")
         copy = self.store.copy()
