Write again what a restored copy of the store lacks of our own

Later callers lost what instances had written since the copy: an instance that the store no longer listed stayed unknown to those that started afterwards (its share of the retry budget, its turn as owner of servers), and a request that crashes servers was no longer known to do so. An instance registers again when a state of the store that is not older than its registration lacks it, also when the registration was never read back; crash records are written again by their writer. Both wait a random part of the time in which all instances together use a quarter of the store's writes (2 s with 195 instances). Entries and crash records that the copy brought back are removed by the oldest instance; a crash record that is read again no longer dates its crash anew.

Tests: test_restored_store.TestWritingAgain; test_housekeeping as before.

--- a/papayalever/entry/housekeeping.py
+++ b/papayalever/entry/housekeeping.py
@@ -1,5 +1,5 @@
-"""Garbage collection in the store: removes entries of instances that no longer exist and crash
-records that have expired.
+"""Garbage collection in the store: removes entries of instances that no longer exist, crash records
+that have expired, and both where a restored copy brought them back.
 
 The oldest instance does this. Two instances may do it for a moment: deleting twice is harmless, and
 an instance whose entry was deleted by mistake registers again.
@@ -57,6 +57,9 @@
                 await self._check_instance(entry)
             for name in self._crashes.old_records(now()):
                 await self._delete(CRASH_KIND, name)
+            for kind in (self._instance_kind, CRASH_KIND):
+                for name in self._cache.returned_names(kind):
+                    await self._delete(kind, name)
 
     async def _check_instance(self, entry: InstanceEntry) -> None:
         if entry.name == self._tree.own.name:
--- a/papayalever/entry/instance.py
+++ b/papayalever/entry/instance.py
@@ -24,7 +24,7 @@
 from ..routing.servers import ServerTable
 from .caller import CallerConnection, Handler
 from .clock import now
-from .crashes import CrashTracker
+from .crashes import CRASH_KIND, CrashTracker
 from .exchange import Exchange, refuse
 from .follower import MAX_AGE_S, Follower
 from .framing import BodyMemory
@@ -39,6 +39,7 @@
 from .state_updates import INSTANCE_KIND, StateUpdater, StoreAdapter
 from .stopping import RETRY_AFTER_S, STOPPING, StopPlan, plan_stop
 from .store_cache import StoreCache
+from .store_position import era_of
 from .store_protocol import InstanceStore
 from .supervision import supervise
 from .watcher import WATCH_HISTORY_SHARE, StoreAccessError
@@ -64,6 +65,9 @@
 """Time from the timeout of a watch on a dead connection to the response to the following list."""
 MAX_REPORTED_AGE_S = 3600.0
 """Age that logs and metrics show for a view that never had contact with the store."""
+REWRITE_SHARE = 0.25
+"""Share of the store's writes that instances use to write again what it lost; servers and operators
+do so at the same time."""
 ADMIN_LIMITS = CallerLimits(header_bytes=8 * 1024, body_bytes=1024, header_s=3.0, idle_s=30.0)
 """For readiness, metrics and directory requests, which have no body."""
 NO_CONFIG_RETRY_AFTER_S = 0.5
@@ -132,17 +136,22 @@
         )
         self._must_register = asyncio.Event()
         self._must_register.set()
-        self._is_registered = False
+        self._registered_position: int | None = None
+        """Position of the write of the own entry, None before the first one and while it is written
+        again."""
+        self._rng = rng
         self._state_updater = StateUpdater(
             self.shared,
             store_adapter,
             self._tree,
             owners,
             self.permit_broker,
-            self._register_again,
+            self._check_registration,
         )
         self.cache = StoreCache(
-            build_hold_policies(store_adapter, settings.heartbeat_s), self._state_updater.apply
+            build_hold_policies(store_adapter, settings.heartbeat_s),
+            self._state_updater.apply,
+            self._note_restored,
         )
         self.follower = Follower(
             self._tree,
@@ -404,24 +413,58 @@
         """Write this instance's entry to the store whenever it is missing there."""
         while True:
             await self._must_register.wait()
+            if self.is_leaving:
+                return
             try:
                 entry = msgspec.to_builtins(self._tree.own)
-                await self._store.put(INSTANCE_KIND, self.settings.instance, entry)
+                position = await self._store.put(INSTANCE_KIND, self.settings.instance, entry)
             except StoreAccessError as error:
                 log.warning("registration failed", error=str(error))
                 await asyncio.sleep(REGISTER_RETRY_S)
                 continue
             self._must_register.clear()
-            self._is_registered = True
+            self._registered_position = position
+            self._check_registration()
 
-    def _register_again(self) -> None:
-        """Register again after the entry was removed, by mistake or by an instance that took this
-        one for gone.
+    def _check_registration(self) -> None:
+        """Register again if the store lacks the own entry in a state after its write.
+
+        An instance that took this one for gone removed it, or the store restored a copy.
         """
-        if self._is_registered and not self.is_leaving:
-            log.warning("entry missing, registering again", instance=self.settings.instance)
-            self._is_registered = False
-            self._must_register.set()
+        written_at, position = self._registered_position, self.cache.position(INSTANCE_KIND)
+        if written_at is None or position < written_at or self.is_leaving:
+            return
+        if self._is_own_entry(self.cache.stored_value(INSTANCE_KIND, self.settings.instance)):
+            return
+        log.warning("entry missing, registering again", instance=self.settings.instance)
+        self._registered_position = None
+        pause_s = self._rewrite_pause_s() if era_of(position) > era_of(written_at) else 0.0
+        asyncio.get_running_loop().call_later(pause_s, self._must_register.set)
+
+    def _is_own_entry(self, value: bytes | None) -> bool:
+        if value is None:
+            return False
+        try:
+            return msgspec.json.decode(value, type=InstanceEntry) == self._tree.own
+        except (msgspec.ValidationError, msgspec.DecodeError):
+            return False
+
+    def _note_restored(self, kind: str) -> None:
+        if kind == CRASH_KIND:
+            self.shared.crashes.write_missing(
+                lambda name: self.cache.stored_value(CRASH_KIND, name) is not None,
+                self._rewrite_pause_s(),
+                self._rewrite_period_s(),
+                now(),
+            )
+
+    def _rewrite_pause_s(self) -> float:
+        """Pause before this instance writes again what the store lost, which all may have to do."""
+        return self._rng.uniform(0.0, self._rewrite_period_s())
+
+    def _rewrite_period_s(self) -> float:
+        """Time in which each instance may write once."""
+        return self.shared.instances / (REWRITE_SHARE * self.settings.store_writes_per_s)
 
     def _cold_per_s(self, service: str) -> float:
         config = self.shared.routes.config
--- a/papayalever/entry/settings.py
+++ b/papayalever/entry/settings.py
@@ -48,6 +48,8 @@
     """How long the store keeps its change history."""
     heartbeat_s: float = 1.5
     """Interval at which backend servers renew their entries in the store."""
+    store_writes_per_s: float = 400.0
+    """Writes that the store takes from all instances together."""
     memory_mb: float = 222.0
     link_mbit_s: float = 100.0
     cpu_share: float = 1.0
--- a/papayalever/entry/state_updates.py
+++ b/papayalever/entry/state_updates.py
@@ -54,10 +54,10 @@
         tree: ReplicationTree,
         owners: Owners,
         permit_broker: PermitBroker,
-        on_missing: Callable[[], None],
+        on_instances: Callable[[], None],
     ) -> None:
-        self._on_missing = on_missing
-        """Called when the store no longer lists this instance."""
+        self._on_instances = on_instances
+        """Called after each update of the registered instances."""
         self._shared = shared
         self._adapter = adapter
         self._tree = tree
@@ -160,7 +160,6 @@
         self._permit_broker.note_servers_changed()
 
     def _apply_instances(self, update: KindUpdate, origin: Origin) -> None:
-        was_listed = self._tree.own.name in self._tree.entry_by_name
         entry_by_name = {} if update.is_snapshot else dict(self._tree.entry_by_name)
         for name, value in update.changes:
             entry_by_name.pop(name, None)
@@ -179,16 +178,18 @@
             **_position_fields(update.position),
             **_origin_fields(origin),
         )
-        if was_listed and self._tree.own.name not in entry_by_name:
-            self._on_missing()
+        self._on_instances()
 
     def _apply_crashes(self, update: KindUpdate, _origin: Origin) -> None:
+        crashes = self._shared.crashes
+        if update.is_snapshot:
+            crashes.keep_records({name for name, _ in update.changes})
         for name, value in update.changes:
             if value is None:
-                self._shared.crashes.forget_record(name)
+                crashes.forget_record(name)
                 continue
             try:
-                self._shared.crashes.apply_record(name, value, now())
+                crashes.apply_record(name, value, now())
             except (msgspec.ValidationError, msgspec.DecodeError) as error:
                 log.warning("crash record rejected", name=name, error=str(error))
 
--- a/papayalever/entry/store_cache.py
+++ b/papayalever/entry/store_cache.py
@@ -123,11 +123,18 @@
 class StoreCache:
     """Caches objects of all kinds and announces each update."""
 
-    def __init__(self, policy_by_kind: Mapping[str, HoldPolicy], on_update: OnUpdate) -> None:
+    def __init__(
+        self,
+        policy_by_kind: Mapping[str, HoldPolicy],
+        on_update: OnUpdate,
+        on_restored: Callable[[str], None] = lambda kind: None,
+    ) -> None:
         self._cache_by_kind = {
             kind: KindCache(kind, HeldObjects(policy)) for kind, policy in policy_by_kind.items()
         }
         self._on_update = on_update
+        self._on_restored = on_restored
+        """Called with the kind after a snapshot of a later era was applied."""
         self._changed = asyncio.Event()
 
     @property
@@ -200,6 +207,8 @@
                 held=len(cache.held.held_by_name),
             )
         self._announce(cache.without_held(update), origin)
+        if is_new_era:
+            self._on_restored(update.kind)
         return True
 
     def release_held(self, now: float) -> None:
--- a/papayalever/entry/store_protocol.py
+++ b/papayalever/entry/store_protocol.py
@@ -10,8 +10,8 @@
 
     address: str
 
-    async def put(self, kind: str, name: str, value: Any) -> None:
-        """Create or replace an object."""
+    async def put(self, kind: str, name: str, value: Any) -> int:
+        """Create or replace an object; returns the position of the write."""
 
     async def delete(self, kind: str, name: str) -> None:
-        """Delete an object."""
+        """Delete an object, which may be gone already."""
--- a/papayalever/platform/store.py
+++ b/papayalever/platform/store.py
@@ -19,6 +19,7 @@
 """Five round trips between regions; short, so that a retry soon notices a healed partition."""
 CALL_TIMEOUT_S = 1.0
 """The store responds in 4 ms; even when 60 times slower, it responds in time."""
+NOT_FOUND = 404
 ERA_HEADER = b"store-era"
 """Rises by one each time the store restores a copy; stores that never do so may omit it."""
 ERA = re.compile(rb"\d{1,18}")
@@ -131,17 +132,27 @@
             make_position(answer.era, response.as_of),
         )
 
-    async def put(self, kind: str, name: str, value: Any) -> None:
-        """Create an object or replace it whatever its revision; safe to repeat."""
+    async def put(self, kind: str, name: str, value: Any) -> int:
+        """Create an object or replace it whatever its revision; safe to repeat.
+
+        Returns the position of the write.
+        """
         document = {"metadata": {"name": name}, "spec": value}
         try:
-            await self._call("POST", f"/objects/{kind}", document, CALL_TIMEOUT_S)
+            answer = await self._call("POST", f"/objects/{kind}", document, CALL_TIMEOUT_S)
         except ConflictError:
-            await self._call("PUT", f"/objects/{kind}/{quote(name)}", document, CALL_TIMEOUT_S)
+            path = f"/objects/{kind}/{quote(name)}"
+            answer = await self._call("PUT", path, document, CALL_TIMEOUT_S)
+        stored = _decode(answer.body, StoredObject)
+        return make_position(answer.era, stored.metadata.revision)
 
     async def delete(self, kind: str, name: str) -> None:
-        """Delete an object."""
-        await self._call("DELETE", f"/objects/{kind}/{quote(name)}", None, CALL_TIMEOUT_S)
+        """Delete an object, which may be gone already."""
+        try:
+            await self._call("DELETE", f"/objects/{kind}/{quote(name)}", None, CALL_TIMEOUT_S)
+        except StoreError as error:
+            if error.status != NOT_FOUND:
+                raise
 
     async def _call(self, method: str, path: str, document: Any, timeout_s: float) -> StoreAnswer:
         self.calls_by_kind[f"{method} {path.split('/')[2].split('?')[0]}"] += 1
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -4,6 +4,7 @@
 import time
 import unittest
 from random import Random
+from unittest.mock import patch
 
 from papayalever.cluster.codec import unpack_changes
 from papayalever.cluster.messages import (
@@ -13,6 +14,8 @@
     KindUpdate,
     PackedSnapshot,
 )
+from papayalever.entry.clock import now
+from papayalever.entry.crashes import CRASH_KIND
 from papayalever.entry.held_objects import HoldPolicy
 from papayalever.entry.hold_policies import HEARTBEATS_PER_LEASE, REWRITE_S, build_hold_policies
 from papayalever.entry.instance import EntryInstance
@@ -512,6 +515,87 @@
         self.assertEqual({PackedSnapshot}, {type(item) for item in updates})
 
 
+class TestWritingAgain(RestoredCase):
+    def listed(self) -> set[str]:
+        return {name for kind, name in self.store.objects if kind == INSTANCE_KIND}
+
+    async def test_instances_that_the_copy_lacks_register_again_and_stay_known_meanwhile(self):
+        copy = self.store.copy()
+        instances = await self.start("noord-a", "noord-b", "midden-a")
+        names = self.listed()
+        self.store.restore(copy)
+        self.assertEqual(set(), self.listed())
+        fewest = 3
+        while self.listed() != names:
+            fewest = min(fewest, *(item.shared.instances for item in instances))
+            await asyncio.sleep(0.01)
+        self.assertEqual(3, fewest)
+        self.assertEqual(3, self.store.calls[f"create {INSTANCE_KIND}"] - 3)
+
+    async def test_registration_that_was_lost_before_it_was_read_back_is_repeated(self):
+        copy = self.store.copy()
+        instance = await self.platform.add_instance("noord-a")
+        await self.platform.wait(self.listed, "it is registered")
+        self.store.restore(copy)
+        await self.platform.wait(self.listed, "it is registered again", 5.0)
+        await self.platform.wait(lambda: instance.shared.instances == 1, "it knows", 5.0)
+
+    async def test_own_entry_of_an_earlier_run_in_the_copy_is_replaced(self):
+        (instance,) = await self.start("noord-a")
+        key = (INSTANCE_KIND, instance.settings.instance)
+        revision, objects = self.store.copy()
+        earlier = {
+            "metadata": objects[key]["metadata"],
+            "spec": objects[key]["spec"] | {"started_ms": 7},
+        }
+        self.store.restore((revision, objects | {key: earlier}))
+        await self.platform.wait(
+            lambda: self.store.objects[key]["spec"]["started_ms"] != 7, "it is replaced", 5.0
+        )
+
+    async def test_crash_records_that_the_copy_lacks_are_written_again_once(self):
+        first, second = await self.start("noord-a", "noord-b")
+        copy = self.store.copy()
+        first.shared.crashes.note("digest", "i-1", now())
+        received = second.shared.crashes.received_at_by_name
+        await self.platform.wait(lambda: received, "the other knows the crash")
+        ((name, received_at),) = received.items()
+        self.store.restore(copy)
+        await self.platform.wait(
+            lambda: (CRASH_KIND, name) in self.store.objects, "it is written again", 5.0
+        )
+        await self.platform.wait(
+            lambda: second.cache.stored_value(CRASH_KIND, name) is not None, "the other has it"
+        )
+        self.assertEqual({name: received_at}, received)
+        self.assertEqual(2, self.store.calls[f"create {CRASH_KIND}"])
+
+    async def test_entry_of_an_instance_that_left_is_removed_from_the_copy(self):
+        interval = patch("papayalever.entry.housekeeping.CHECK_INTERVAL_S", 0.3)
+        interval.start()
+        self.addCleanup(interval.stop)
+        stays, leaves = await self.start("noord-a", "noord-b")
+        copy = self.store.copy()
+        self.store.drop(INSTANCE_KIND, leaves.settings.instance)
+        await self.platform.kill(leaves.settings.instance)
+        await self.platform.wait(lambda: stays.shared.instances == 1, "it is known")
+        self.store.restore(copy)
+        await self.platform.wait(
+            lambda: era_of(stays.cache.position(INSTANCE_KIND)) == 2, "the copy was read"
+        )
+        self.assertEqual(1, stays.shared.instances)
+        await self.platform.wait(
+            lambda: self.listed() == {stays.settings.instance}, "it is removed", 5.0
+        )
+
+    async def test_writes_of_many_instances_stay_within_a_quarter_of_the_rate(self):
+        (instance,) = await self.start("noord-a")
+        instance.shared.instances = 195
+        pauses = [instance._rewrite_pause_s() for _ in range(500)]
+        self.assertLessEqual(max(pauses), 195 / 100)
+        self.assertGreater(max(pauses) - min(pauses), 1.5)
+
+
 class TestCallersBesideARestore(RestoredCase):
     async def test_leaving_and_gone_servers_get_nothing_and_a_new_one_is_still_used(self):
         gone, leaving = await self.platform.add_server(), await self.platform.add_server()
