Count an odd address as one that does not answer

Requests ended with 502 and followers stopped to follow, where another writer had left an entry with a port out of range: the connection attempt raised an error that no caller of it expects (OverflowError, ValueError, InvalidURI), which ended the request or restarted the task again and again. Both clients report it like any other failed connection now. Test: test_odd_entries.TestOddAddresses, failed before.

--- a/papayalever/cluster/links.py
+++ b/papayalever/cluster/links.py
@@ -10,7 +10,7 @@
 import logbook
 from websockets.asyncio.client import ClientConnection, connect
 from websockets.asyncio.server import Server, ServerConnection, serve
-from websockets.exceptions import ConnectionClosed, InvalidHandshake
+from websockets.exceptions import ConnectionClosed, WebSocketException
 
 from .codec import decode, encode
 from .exceptions import CodecError, PeerTimeoutError, PeerUnreachableError
@@ -52,7 +52,8 @@
                 compression=None,
                 proxy=None,
             )
-        except (OSError, TimeoutError, InvalidHandshake, EOFError) as error:
+        except (OSError, EOFError, ValueError, WebSocketException) as error:
+            # A malformed address raises the last two.
             self.is_closed = True
             raise PeerUnreachableError(f"The connection to {self.address} failed.") from error
         self._reader = asyncio.create_task(self._read_replies(), name=f"link-{self.address}")
--- a/papayalever/entry/connection.py
+++ b/papayalever/entry/connection.py
@@ -255,9 +255,9 @@
 
     Response bodies count as used in ``memory`` until they are delivered.
     """
-    host, port = address.rsplit(":", 1)
     loop = asyncio.get_running_loop()
     try:
+        host, port = address.rsplit(":", 1)
         async with asyncio.timeout(timeout_s):
             _, protocol = await loop.create_connection(
                 lambda: ClientConnection(memory), host, int(port)
@@ -268,7 +268,8 @@
         raise SendError(
             SendFailure.NOT_CONNECTED, "no response to the connection attempt"
         ) from error
-    except OSError as error:
+    except (OSError, ValueError, OverflowError) as error:
+        # The last two: the address is malformed.
         raise SendError(SendFailure.NOT_CONNECTED, str(error)) from error
     return protocol
 
