Let an odd stored object cost only itself and one log line

Reported by other operators: an entry that is very deeply nested, or has a number or a port out of range, ended the readers of the list again and again. Here a nested one raised RecursionError in the adapter, which restarted the watch: the list was never followed again while the entry stood there, and an instance that started then never became ready (not within 30 s; a new configuration not within 2.5 s). Taken as good were ports 0 and 99999, the host 999.0.0.1, a born of 400 digits, a warmup_left_ms of 30; an idle_timeout_ms of 400 raised OverflowError.

Each object of a page and each event is decoded for itself; values nested deeper than 100 are removed first, and their object counts as unreadable. Numbers and addresses have ranges in all kinds: servers, configuration, instances, crash records. An entry of an instance must have the name of its object.

--- a/papayalever/entry/crashes.py
+++ b/papayalever/entry/crashes.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from ..routing.quarantine import CRASH_WINDOW_S, CrashLog
+from .own_objects import CrashRecord, read_crash_record
 from .store_protocol import InstanceStore
 from .watcher import StoreAccessError
 
@@ -24,13 +25,6 @@
 log = logbook.Logger("crashes")
 
 
-class CrashRecord(msgspec.Struct):
-    """Stored record of a server that crashed while it ran a request."""
-
-    digest: str
-    server: str
-
-
 @dataclass(slots=True)
 class CrashTracker:
     """Crash log of this instance, shared with the other instances through the store."""
@@ -47,14 +41,14 @@
     _tasks: set[asyncio.Task] = field(default_factory=set)
 
     def apply_record(self, name: str, value: bytes, now: float) -> None:
-        """Apply a record from the store; raises `msgspec.DecodeError` when it is malformed.
+        """Apply a record from the store; raises `InvalidOwnObjectError` if it is malformed.
 
         Records never change: one that is read again does not date its crash anew.
         """
         if name in self.received_at_by_name:
             return
         self.received_at_by_name[name] = now
-        record = msgspec.json.decode(value, type=CrashRecord)
+        record = read_crash_record(value)
         self.crash_log.note(record.digest, record.server, now)
 
     def forget_record(self, name: str) -> None:
--- a/papayalever/entry/hold_policies.py
+++ b/papayalever/entry/hold_policies.py
@@ -2,13 +2,11 @@
 
 import math
 
-import msgspec
-
 from ..routing.quarantine import CRASH_WINDOW_S
-from ..routing.replication_tree import InstanceEntry
 from ..routing.servers import Phase, ServerEntry
 from .crashes import CRASH_KIND
 from .held_objects import HoldPolicy, Value
+from .own_objects import InvalidOwnObjectError, read_start
 from .state_updates import INSTANCE_KIND, StoreAdapter
 
 REWRITE_S = 1.9
@@ -70,7 +68,6 @@
 
 def _is_newer_instance(known: bytes, stored: bytes) -> bool:
     try:
-        started_ms = msgspec.json.decode(stored, type=InstanceEntry).started_ms
-        return started_ms > msgspec.json.decode(known, type=InstanceEntry).started_ms
-    except (msgspec.ValidationError, msgspec.DecodeError):
+        return read_start(stored) > read_start(known)
+    except InvalidOwnObjectError:
         return False
--- a/papayalever/entry/instance.py
+++ b/papayalever/entry/instance.py
@@ -32,6 +32,7 @@
 from .housekeeping import Housekeeping
 from .messages import CallerRequest, RequestMeta, Response
 from .metrics import EntryMetrics
+from .own_objects import InvalidOwnObjectError, read_instance
 from .permit_broker import PermitBroker, log_health
 from .pool import ConnectionPool
 from .settings import EntrySettings
@@ -445,8 +446,8 @@
         if value is None:
             return False
         try:
-            return msgspec.json.decode(value, type=InstanceEntry) == self._tree.own
-        except (msgspec.ValidationError, msgspec.DecodeError):
+            return read_instance(self.settings.instance, value) == self._tree.own
+        except InvalidOwnObjectError:
             return False
 
     def _note_restored(self, kind: str) -> None:
--- a/papayalever/entry/state_updates.py
+++ b/papayalever/entry/state_updates.py
@@ -4,16 +4,16 @@
 from dataclasses import dataclass
 
 import logbook
-import msgspec
 
 from ..cluster.messages import KindUpdate
 from ..routing.owners import Owners
-from ..routing.replication_tree import InstanceEntry, ReplicationTree
+from ..routing.replication_tree import ReplicationTree
 from ..routing.routes import RoutingConfig
 from ..routing.servers import ServerEntry
 from .clock import now
 from .crashes import CRASH_KIND
 from .messages import DirectoryQuery
+from .own_objects import InvalidOwnObjectError, read_instance
 from .permit_broker import PermitBroker
 from .shared import SharedState
 from .store_cache import Origin
@@ -166,8 +166,8 @@
             if value is None:
                 continue
             try:
-                entry_by_name[name] = msgspec.json.decode(value, type=InstanceEntry)
-            except (msgspec.ValidationError, msgspec.DecodeError) as error:
+                entry_by_name[name] = read_instance(name, value)
+            except InvalidOwnObjectError as error:
                 log.warning("instance entry rejected", name=name, error=str(error))
         self._tree.replace_all(entry_by_name.values())
         self._owners.set_instances(entry_by_name)
@@ -190,7 +190,7 @@
                 continue
             try:
                 crashes.apply_record(name, value, now())
-            except (msgspec.ValidationError, msgspec.DecodeError) as error:
+            except InvalidOwnObjectError as error:
                 log.warning("crash record rejected", name=name, error=str(error))
 
 
--- a/papayalever/platform/objects.py
+++ b/papayalever/platform/objects.py
@@ -11,6 +11,7 @@
 import logbook
 import msgspec
 
+from ..addresses import is_address
 from ..routing.routes import CallerLimits, RouteRule, RoutingConfig, ServiceRule, WeightedService
 from ..routing.servers import Phase, ServerEntry
 
@@ -19,10 +20,16 @@
 SERVER_KIND = "servers"
 EVACUATION_KIND = "evacuations"
 
-Address = Annotated[str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
+MAX_COUNT = 2**53
+"""Largest whole number of entries: JSON numbers are exact up to it."""
+MAX_MS = 1e12
+"""Longest duration in milliseconds, 31 years."""
 Text = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
-PositiveInt = Annotated[int, msgspec.Meta(gt=0)]
-VERSION_PATTERN = re.compile(r"^r(\d+)$")
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+PositiveInt = Annotated[int, msgspec.Meta(gt=0, le=MAX_COUNT)]
+Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_MS)]
+PositiveMilliseconds = Annotated[float, msgspec.Meta(gt=0, le=MAX_MS)]
+VERSION_PATTERN = re.compile(r"r([0-9]{1,15})")
 IDEMPOTENT_TYPES = frozenset(("safe", "download"))
 """Types of routes whose requests may run more than once; downloads have large responses."""
 UNSAFE_TYPES = frozenset(("unsafe", "upload"))
@@ -39,13 +46,13 @@
     """Entry with which a backend server registers itself."""
 
     service: Text
-    address: Address
+    address: Text
     zone: Text
     max_concurrency: Annotated[int, msgspec.Meta(gt=0, le=100_000)]
     phase: Literal["ready", "draining"]
-    sequence: int
-    warmup_left_ms: Annotated[float, msgspec.Meta(ge=0)] = 0
-    born: int | None = None
+    sequence: Count
+    warmup_left_ms: Milliseconds = 0
+    born: Count | None = None
     """Start time in Unix milliseconds; another value under the same id means a restart."""
 
 
@@ -53,7 +60,7 @@
     """A service and its weight in a route."""
 
     service: Text
-    weight: Annotated[float, msgspec.Meta(ge=0)]
+    weight: Annotated[float, msgspec.Meta(ge=0, le=MAX_COUNT)]
 
 
 class RouteSpec(msgspec.Struct):
@@ -62,10 +69,10 @@
     host: Text
     path_prefix: Annotated[str, msgspec.Meta(pattern=r"^/(.*/)?$")]
     type: str
-    timeout_ms: Annotated[float, msgspec.Meta(gt=0)]
+    timeout_ms: PositiveMilliseconds
     attempts: PositiveInt
-    target_latency_ms: Annotated[float, msgspec.Meta(gt=0)] = 1000
-    priority: int = 0
+    target_latency_ms: PositiveMilliseconds = 1000
+    priority: Annotated[int, msgspec.Meta(ge=-MAX_COUNT, le=MAX_COUNT)] = 0
     service: str | None = None
     backends: list[BackendSpec] = []
     session_affinity: bool = False
@@ -77,8 +84,8 @@
 
     health_path: str = "/"
     max_connections: PositiveInt = 100
-    warmup_s: float = 0
-    warmup_per_s: float = 1e9
+    warmup_s: Annotated[float, msgspec.Meta(ge=0, le=MAX_MS / 1000)] = 0
+    warmup_per_s: Annotated[float, msgspec.Meta(ge=0, le=MAX_COUNT)] = 1e9
 
 
 class LimitsSpec(msgspec.Struct):
@@ -86,8 +93,8 @@
 
     max_header_bytes: PositiveInt = 16_384
     max_body_bytes: PositiveInt = 64 * 1024 * 1024
-    header_timeout_ms: PositiveInt = 3_000
-    idle_timeout_ms: PositiveInt = 15_000
+    header_timeout_ms: PositiveMilliseconds = 3_000
+    idle_timeout_ms: PositiveMilliseconds = 15_000
 
 
 class EntryMetadata(msgspec.Struct):
@@ -114,6 +121,10 @@
 def read_server(server_id: str, value: bytes, region_by_domain: Mapping[str, str]) -> ServerEntry:
     """Decode a backend server's entry; raises `InvalidObjectError`."""
     spec = _decode(value, ServerSpec, f"server {server_id!r}")
+    if not is_address(spec.address):
+        raise InvalidObjectError(
+            f"server {server_id!r} has the address {spec.address!r}, expected IPv4 address:port"
+        )
     region = region_by_domain.get(spec.zone)
     if region is None:
         raise InvalidObjectError(
@@ -136,7 +147,7 @@
 def read_config(value: bytes) -> RoutingConfig:
     """Decode the configuration; raises `InvalidObjectError`."""
     spec = _decode(value, ConfigSpec, "the configuration")
-    match = VERSION_PATTERN.match(spec.version)
+    match = VERSION_PATTERN.fullmatch(spec.version)
     if not match:
         raise InvalidObjectError(
             f"configuration version {spec.version!r} is not of the form r<number>"
@@ -208,5 +219,5 @@
 def _decode(value: bytes, spec_type: type, description: str):
     try:
         return msgspec.json.decode(value, type=spec_type)
-    except (msgspec.ValidationError, msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise InvalidObjectError(f"{description} cannot be decoded: {error}") from error
--- a/papayalever/platform/store.py
+++ b/papayalever/platform/store.py
@@ -14,12 +14,18 @@
 from ..entry.messages import ServerResponse
 from ..entry.store_position import MAX_REVISION, era_of, make_position, revision_of
 from ..entry.watcher import HistoryExpiredError, ReadResult, StoreAccessError
+from .nesting import REMOVED, remove_nested
 
 CONNECT_TIMEOUT_S = 0.4
 """Five round trips between regions; short, so that a retry soon notices a healed partition."""
 CALL_TIMEOUT_S = 1.0
 """The store responds in 4 ms; even when 60 times slower, it responds in time."""
 NOT_FOUND = 404
+MAX_DEPTH = 100
+"""Deepest nesting of a response. Those of the platform's own objects are nested less than ten
+deep."""
+UNREADABLE = b"null"
+"""Value of an object that was nested deeper; the readers of all kinds reject it."""
 ERA_HEADER = b"store-era"
 """Rises by one each time the store restores a copy; stores that never do so may omit it."""
 ERA = re.compile(rb"\d{1,18}")
@@ -50,9 +56,9 @@
 
 
 class ListResponse(msgspec.Struct):
-    """A page of objects."""
+    """A page of objects, each decoded for itself."""
 
-    items: list[StoredObject]
+    items: list[msgspec.Raw]
     as_of: Revision
     has_more: bool = False
 
@@ -65,9 +71,9 @@
 
 
 class WatchResponse(msgspec.Struct):
-    """Changes after the watched revision."""
+    """Changes after the watched revision, each decoded for itself."""
 
-    events: list[WatchEvent]
+    events: list[msgspec.Raw]
     as_of: Revision
 
 
@@ -107,14 +113,15 @@
             query = f"?after={quote(after)}" if after else ""
             answer = await self._call("GET", f"/objects/{kind}{query}", None, CALL_TIMEOUT_S)
             page = _decode(answer.body, ListResponse)
-            changes += [_to_change(item, False) for item in page.items]
+            items = _decode_each(page.items, StoredObject, kind)
+            changes += [_to_change(item, False) for item in items]
             position = make_position(answer.era, page.as_of)
             first_position = position if first_position is None else first_position
             if era_of(first_position) != answer.era:
                 raise StoreError(f"GET {kind}: the store restored a copy between two pages")
-            if not page.has_more or not page.items:
+            if not page.has_more or not items:
                 return ReadResult(changes, first_position)
-            after = page.items[-1].metadata.name
+            after = items[-1].metadata.name
 
     async def watch(self, kind: str, position: int, wait_s: float) -> ReadResult:
         """Wait for changes after a position.
@@ -127,8 +134,9 @@
         if answer.era > era_of(position):
             raise HistoryExpiredError(f"watch {kind}: the store restored a copy")
         response = _decode(answer.body, WatchResponse)
+        events = _decode_each(response.events, WatchEvent, kind)
         return ReadResult(
-            [_to_change(item.object, item.deleted) for item in response.events],
+            [_to_change(item.object, item.deleted) for item in events],
             make_position(answer.era, response.as_of),
         )
 
@@ -203,11 +211,27 @@
 
 def _decode(body: bytes, response_type: type) -> Any:
     try:
-        return msgspec.json.decode(body, type=response_type)
-    except (msgspec.ValidationError, msgspec.DecodeError) as error:
+        try:
+            return msgspec.json.decode(body, type=response_type)
+        except RecursionError:
+            return msgspec.json.decode(remove_nested(body, MAX_DEPTH), type=response_type)
+    except (msgspec.DecodeError, RecursionError) as error:
         raise StoreError(f"the store's response cannot be decoded: {error}") from error
 
 
+def _decode_each(items: list[msgspec.Raw], item_type: type, kind: str) -> list[Any]:
+    """Decode objects or events; one that is malformed is left out."""
+    decoded = []
+    for item in items:
+        try:
+            decoded.append(msgspec.json.decode(item, type=item_type))
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+            log.warning("stored object not decoded", kind=kind, error=str(error))
+    return decoded
+
+
 def _to_change(item: StoredObject, is_deleted: bool) -> tuple[str, bytes | None]:
-    is_deleted = is_deleted or item.metadata.deleting
-    return (item.metadata.name, None if is_deleted else bytes(item.spec))
+    if is_deleted or item.metadata.deleting:
+        return (item.metadata.name, None)
+    value = bytes(item.spec)
+    return (item.metadata.name, UNREADABLE if REMOVED in value else value)
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -10,6 +10,7 @@
 from contextlib import suppress
 from dataclasses import dataclass, field
 
+import msgspec
 from aiohttp import web
 
 from papayalever.entry.instance import EntryInstance
@@ -127,7 +128,7 @@
             names = [name for name in names if name > request.query.get("after", "")]
             items = [self.objects[kind, name] for name in names[: self.page]]
             more = len(names) > self.page
-            return web.json_response({"items": items, "has_more": more, "as_of": self.revision})
+            return to_response({"items": items, "has_more": more, "as_of": self.revision})
         self._enter(request, f"watch {kind}")
         since = int(request.query["watch"])
         if self.forgets or not self._since <= since <= self.revision:
@@ -142,7 +143,7 @@
             with suppress(TimeoutError):
                 async with asyncio.timeout(0.05):
                     await self._changed.wait()
-        return web.json_response({"events": self._events(kind, since), "as_of": self.revision})
+        return to_response({"events": self._events(kind, since), "as_of": self.revision})
 
     def _events(self, kind: str, since: int) -> list[dict]:
         return [
@@ -177,6 +178,11 @@
         return web.json_response({})
 
 
+def to_response(document: dict) -> web.Response:
+    """A response whose document may contain parts that are encoded already, as `msgspec.Raw`."""
+    return web.Response(body=msgspec.json.encode(document), content_type="application/json")
+
+
 @dataclass
 class Seen:
     """A request as it reached a backend server."""
