--- a/papayalever/entry/instance.py
+++ b/papayalever/entry/instance.py
@@ -305,6 +305,8 @@
         follower, servers = self.follower, self.shared.servers
         return {
             "config_version": float(self.shared.routes.version),
+            "store_era": float(max(0, self.cache.era)),
+            "objects_held": float(self.cache.held_count),
             "servers": float(len(servers.server_by_id)),
             "evacuated_domains": float(len(servers.evacuated)),
             "instances": float(len(self._tree.entry_by_name)),
--- a/papayalever/entry/store_cache.py
+++ b/papayalever/entry/store_cache.py
@@ -152,6 +152,11 @@
         """The latest era of any kind, -1 if none was read yet."""
         return max(era_of(cache.position) for cache in self._cache_by_kind.values())
 
+    @property
+    def held_count(self) -> int:
+        """Number of objects that are held against the store's state."""
+        return sum(len(cache.held.held_by_name) for cache in self._cache_by_kind.values())
+
     def position(self, kind: str) -> int:
         """Cached position of a kind, `NEVER_READ` if it was never read."""
         return self._cache_by_kind[kind].position
--- a/papayalever/explain.py
+++ b/papayalever/explain.py
@@ -16,6 +16,7 @@
     "store lost": "store",
     "store reachable again": "store",
     "store regained": "store",
+    "store restored a copy": "restored copy",
     "following relay": "relay",
     "relay followed": "relay",
     "relay unreachable": "relay",
