Let the soak's store restore older copies, and check that versions never go back

The store loses up to ten seconds of changes while it is away; operators and servers write theirs again within 1.5 s, in any order, beside all other faults. No process may then report an older configuration than before.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -40,6 +40,10 @@
 VERSION_METRIC = "papayalever_config_version"
 CONTACT_S = 4.0
 """Bounds hold for instances that nothing happened to for so long."""
+WRITTEN_KINDS = frozenset(("servers", "config", "evacuations"))
+"""Kinds that operators and servers write again after the store restored a copy."""
+REWRITE_S = 1.5
+VERSION_CHECK_S = 0.1
 LEAST_SERVED = 0.9
 """Share of the requests that are served once all faults are over."""
 
@@ -89,7 +93,9 @@
         self.programs: list[Program] = []
         self.directory = directory
         self.instances = instances
+        self.store.era = "1"
         self.store_disturbed_at = -100.0
+        self.is_restoring = False
         self.left_at: dict[str, float] = {}
         self.emptied_at: dict[str, float] = {}
         self.is_over = False
@@ -230,6 +236,7 @@
             self.limit_server,
             self.limit_server,
             self.fault_store,
+            self.restore_store,
             self.change_configuration,
             self.empty_domain,
         ]
@@ -366,6 +373,38 @@
             await self.fault_proxy(self.store_proxy, "the store")
         self.store_disturbed_at = self.now()
 
+    async def restore_store(self) -> None:
+        """The store loses its latest changes, and operators and servers write theirs again."""
+        if self.is_restoring:
+            return
+        self.is_restoring = True
+        copy = self.store.copy()
+        await asyncio.sleep(self.rng.uniform(0.5, 8.0))
+        self.store_disturbed_at = self.now() + 6.0
+        self.store.down_for = lambda host: True
+        await asyncio.sleep(self.rng.uniform(0.2, 2.0))
+        written = dict(self.store.objects)
+        self.store.restore(copy)
+        self.store.down_for = lambda host: False
+        self.say(f"the store restores a copy, era {self.store.era}")
+        await self.write_again(written)
+        self.store_disturbed_at = self.now()
+        self.is_restoring = False
+
+    async def write_again(self, written: dict[tuple[str, str], dict]) -> None:
+        restored = dict(self.store.objects)
+        keys = [key for key in sorted(written.keys() | restored) if key[0] in WRITTEN_KINDS]
+        self.rng.shuffle(keys)
+        for key in keys:
+            await asyncio.sleep(self.rng.uniform(0.0, REWRITE_S / len(keys)))
+            if self.store.objects.get(key) is not restored.get(key):
+                # Something newer was written meanwhile.
+                continue
+            if key not in written:
+                self.store.drop(*key)
+            elif written[key] is not restored.get(key):
+                self.store.put(*key, written[key]["spec"])
+
     async def fault_proxy(self, proxy: FaultProxy, name: str) -> None:
         proxy.fault = self.rng.choice([item for item in Fault if item != Fault.NONE])
         self.say(f"{proxy.fault} at {name}")
@@ -399,6 +438,7 @@
             asyncio.create_task(self.call_on(Random(self.rng.random()))) for _ in range(CALLERS)
         ]
         faults = asyncio.create_task(self.disturb())
+        versions = asyncio.create_task(self.check_versions())
         await asyncio.sleep(seconds)
         faults.cancel()
         self.say("faults are over")
@@ -412,12 +452,27 @@
             self.ledger.find(self.now(), f"{served:.2f} of the requests are served after all")
         await self.check_configuration()
         self.is_over = True
-        await asyncio.gather(*callers)
+        await asyncio.gather(*callers, versions)
         for program in self.programs:
             if any(process.poll() is None for process in program.processes[:-1]):
                 self.ledger.find(self.now(), f"{program.name} runs twice")
         return self.ledger.findings + self.limits.find(self.server_by_id.values())
 
+    async def check_versions(self) -> None:
+        """No process ever goes back to an older configuration."""
+        rng, version_by_process = Random(0), {}
+        while not self.is_over:
+            program = rng.choice(self.programs)
+            process, version = program.process, await read_version(program)
+            if version and process is program.process:
+                known = version_by_process.get(process, 0)
+                if version < known:
+                    self.ledger.find(
+                        self.now(), f"{program.name} goes back from {known} to {version}"
+                    )
+                version_by_process[process] = version
+            await asyncio.sleep(VERSION_CHECK_S)
+
     async def check_configuration(self) -> None:
         """With nothing disturbed, a change is in force everywhere within its bound."""
         await self.change_configuration()
@@ -457,11 +512,12 @@
 async def read_version(program: Program) -> int:
     """The configuration that a program says to have in force, 0 if it does not answer."""
     try:
-        caller = await Caller.connect(f"{program.ip}:{METRICS_PORT}")
-        caller.send(METRICS_PATH, "metrics")
-        text = (await caller.read()).body.decode()
+        async with asyncio.timeout(1.0):
+            caller = await Caller.connect(f"{program.ip}:{METRICS_PORT}")
+            caller.send(METRICS_PATH, "metrics")
+            text = (await caller.read()).body.decode()
         caller.close()
-    except OSError:
+    except (OSError, TimeoutError, asyncio.IncompleteReadError):
         return 0
     values = [line.split()[1] for line in text.splitlines() if line.startswith(VERSION_METRIC)]
     return int(float(values[0])) if values else 0
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -84,8 +84,9 @@
 
     def drop(self, kind: str, name: str) -> None:
         self.revision += 1
-        item = self.objects.pop((kind, name))
-        self._note(kind, item, True)
+        item = self.objects.pop((kind, name), None)
+        if item:
+            self._note(kind, item, True)
 
     def copy(self) -> tuple[int, dict[tuple[str, str], dict]]:
         """A copy of what is stored now, for `restore`."""
