--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -3,8 +3,9 @@
 import asyncio
 import time
 import unittest
+from collections import Counter
 from random import Random
-from unittest.mock import patch
+from unittest.mock import AsyncMock, patch
 
 from papayalever.cluster.codec import unpack_changes
 from papayalever.cluster.messages import (
@@ -22,8 +23,9 @@
 from papayalever.entry.state_updates import INSTANCE_KIND
 from papayalever.entry.store_cache import Origin, StoreCache
 from papayalever.entry.store_position import MAX_REVISION, era_of, make_position, revision_of
-from papayalever.entry.watcher import KindWatcher, ReadResult, StoreHealth
+from papayalever.entry.watcher import KindWatcher, ReadResult, StoreAccessError, StoreHealth
 from papayalever.platform.program import build_store_adapter
+from papayalever.platform.store import StoreAnswer, StoreClient
 
 from .support.platform import REGIONS, LoopLag, configuration, dump
 from .test_entry import PlatformCase
@@ -256,6 +258,17 @@
         return await asyncio.get_running_loop().create_future()
 
 
+class TestPages(unittest.IsolatedAsyncioTestCase):
+    async def test_list_whose_pages_are_of_two_eras_is_no_list(self):
+        first = b'{"items":[{"metadata":{"name":"a"}}],"as_of":9,"has_more":true}'
+        answers = [StoreAnswer(first, 1), StoreAnswer(b'{"items":[],"as_of":9}', 2)]
+        with (
+            patch.object(StoreClient, "_call", AsyncMock(side_effect=answers)),
+            self.assertRaises(StoreAccessError),
+        ):
+            await StoreClient("127.0.0.1:1", Counter()).list_all("servers")
+
+
 class TestLateAnswers(unittest.IsolatedAsyncioTestCase):
     async def test_answer_of_the_earlier_era_counts_as_no_answer(self):
         cache = StoreCache({"config": NO_HOLD}, lambda *_: None)
