--- a/papayalever/platform/store.py
+++ b/papayalever/platform/store.py
@@ -33,10 +33,8 @@
 WATCH_TIMEOUT_MARGIN_S = 0.6
 """Added to the requested wait, for a slow store; after it the connection counts as dead."""
 
-
 Revision = Annotated[int, msgspec.Meta(ge=0, le=MAX_REVISION)]
 
-
 log = logbook.Logger("store")
 
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -97,6 +97,13 @@
             put(CRASH_KIND, f"odd{number}", spec)
         put("evacuations", "nowhere", NESTED)
 
+    async def start_two(self) -> list[EntryInstance]:
+        instances = [await self.platform.ready_instance() for _ in range(2)]
+        await self.platform.wait(
+            lambda: all(item.shared.instances == 2 for item in instances), "they know each other"
+        )
+        return instances
+
     async def check_follows(self, instances: list[EntryInstance], version: int) -> None:
         """Whether changes of all kinds still reach the instances, and callers their servers."""
         server = await self.platform.add_server()
@@ -121,12 +128,12 @@
     async def test_list_with_odd_entries_is_read_and_followed(self):
         self.put_odd()
         await self.platform.add_server()
-        instances = [await self.platform.ready_instance() for _ in range(2)]
+        instances = await self.start_two()
         await self.check_follows(instances, 8)
 
     async def test_odd_entries_in_a_watch_change_nothing(self):
         await self.platform.add_server()
-        instances = [await self.platform.ready_instance() for _ in range(2)]
+        instances = await self.start_two()
         await self.check_follows(instances, 8)
         self.put_odd()
         await asyncio.sleep(1.0)
@@ -134,7 +141,7 @@
 
     async def test_odd_configuration_leaves_the_last_good_one_in_force(self):
         await self.platform.add_server()
-        instances = [await self.platform.ready_instance() for _ in range(2)]
+        instances = await self.start_two()
         for spec in odd_configurations(50):
             self.platform.store.put("config", "main", spec)
             await asyncio.sleep(0.05)
