--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -198,7 +198,7 @@
         positions = [make_position(*item) for item in ((0, 0), (0, MAX_REVISION), (1, 3), (2, 0))]
         self.assertEqual(sorted(positions), positions)
         self.assertEqual((2, 77), (era_of(make_position(2, 77)), revision_of(make_position(2, 77))))
-        # A store without eras: positions are those of instances that know none.
+        # A store without eras: positions equal its revisions.
         self.assertEqual(77, make_position(0, 77))
 
 
