--- a/papayalever/entry/exchange.py
+++ b/papayalever/entry/exchange.py
@@ -15,8 +15,8 @@
 from ..routing.server_limits import LimitReport
 from ..routing.servers import Server
 from .clock import now
-from .connection import ClientConnection, SendError, SendFailure, connect
-from .forwarding import encode_request, end_to_end_headers
+from .connection import ClientConnection, SendError, SendFailure
+from .forwarding import end_to_end_headers
 from .messages import (
     CallerRequest,
     RequestMeta,
@@ -26,7 +26,7 @@
     ServerResponse,
 )
 from .permit_broker import Permit, PermitBroker, PermitSpec
-from .pool import CONNECT_TIMEOUT_S
+from .sending import OutgoingRequest, may_have_run, send_direct
 from .shared import SharedState, digest_request
 from .stopping import RETRY_AFTER_S, STOPPING, StopPlan
 
@@ -312,7 +312,7 @@
                     server, response.load.running, response.load.waiting, now()
                 )
             self._note_limit(server, response, kind)
-            if kind not in (ResponseKind.NOT_RUN, ResponseKind.OTHER_SERVER):
+            if may_have_run(kind):
                 ran_s = now() - started
             end = classify_response(response.status, kind)
             return self._check_response(server, response, kind)
@@ -332,42 +332,33 @@
             self._permit_broker.note_end(permit, ran_s, running, end)
 
     async def _send(self, server: Server) -> ServerResponse:
-        shared = self._shared
-        entry = server.entry
-        # A copy of a refusal bears the id of this request too, so that only another connection
-        # distinguishes it from the response to the next send.
-        connection = await shared.pool.acquire(
-            entry, not self._route.is_idempotent, self._used_connections
-        )
-        self._used_connections.add(connection)
         may_have_run_before = self.trace.may_have_run
-        self.trace.may_have_run = True
-        self._send_count += 1
-        started = now()
-        is_reused = connection.used > 0
-
-        def matches(response: ServerResponse) -> bool:
-            return self._is_own_response(response, is_reused)
-
+        send_count_before = self._send_count
         try:
-            response = await connection.send(
-                self._encode(entry.id), matches, self._request.method == b"HEAD"
-            )
+            response = await send_direct(self._shared, server.entry, self._outgoing())
         except SendError as error:
             if error.failure == SendFailure.NOT_CONNECTED:
                 self.trace.may_have_run = may_have_run_before
-                self._send_count -= 1
-            is_lost = error.failure == SendFailure.LOST
-            if is_lost and shared.pool.note_lost(entry, connection, now() - started):
-                log.info("idle connection lost", server=entry.id, rested_s=connection.idle_s)
-                raise SendError(SendFailure.STALE, error.detail) from error
+                self._send_count = send_count_before
             raise
-        kind = shared.adapter.read_response(response)
-        if kind in (ResponseKind.NOT_RUN, ResponseKind.OTHER_SERVER):
+        if not may_have_run(self._shared.adapter.read_response(response)):
             self.trace.may_have_run = may_have_run_before
-        shared.pool.release(entry, connection, shared.max_idle(entry.service))
         return response
 
+    def _outgoing(self) -> OutgoingRequest:
+        return OutgoingRequest(
+            self._request,
+            self._meta.request_id,
+            self._route.is_idempotent,
+            self._deadline,
+            self._note_sent,
+            self._used_connections,
+        )
+
+    def _note_sent(self) -> None:
+        self.trace.may_have_run = True
+        self._send_count += 1
+
     def _note_limit(self, server: Server, response: ServerResponse, kind: ResponseKind) -> None:
         """Record the limit that a response names; only a signed one ends a limit by naming none."""
         limits = self._shared.limits
@@ -386,22 +377,6 @@
         report = LimitReport(response.limit_per_s, response.head_at)
         self._permit_broker.note_limit(server, report)
 
-    def _encode(self, server_id: str) -> bytes:
-        adapter = self._shared.adapter
-        added = adapter.forward_headers(server_id, self._deadline - now())
-        return encode_request(self._request, adapter.reserved_headers, added)
-
-    def _is_own_response(self, response: ServerResponse, is_reused: bool) -> bool:
-        """Whether a response belongs to this request.
-
-        One without an id may be a late copy of the response to an earlier request on a reused
-        connection.
-        """
-        self._shared.adapter.read_response(response)
-        if response.request_id is None:
-            return not is_reused
-        return response.request_id == self._meta.request_id
-
     def _check_response(
         self, server: Server, response: ServerResponse, kind: ResponseKind
     ) -> Response | str:
@@ -443,7 +418,7 @@
     async def _note_crash(self, server: Server) -> None:
         """Record a crash if the server refuses connections right after it broke one."""
         try:
-            connection = await connect(server.entry.address, CONNECT_TIMEOUT_S)
+            connection = await self._shared.pool.open(server.entry)
         except SendError as error:
             if error.is_refused:
                 self._shared.crashes.note(self._request_digest(), server.id, now())
--- a/papayalever/entry/pool.py
+++ b/papayalever/entry/pool.py
@@ -54,6 +54,10 @@
                 connection.idle_s = idle_s
                 return connection
             connection.close()
+        return await self.open(server)
+
+    async def open(self, server: ServerEntry) -> ClientConnection:
+        """Open a new connection; raises `SendError`."""
         self.opened += 1
         return await connect(server.address, CONNECT_TIMEOUT_S, self._body_memory)
 
--- /dev/null
+++ b/papayalever/entry/sending.py
@@ -0,0 +1,85 @@
+"""Sends one request to one backend server over a connection of this instance's pool."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import logbook
+
+from ..routing.servers import ServerEntry
+from .clock import now
+from .connection import ClientConnection, SendError, SendFailure
+from .forwarding import encode_request
+from .messages import CallerRequest, ResponseKind, ServerResponse
+from .shared import SharedState
+
+log = logbook.Logger("request")
+
+
+@dataclass(eq=False, slots=True)
+class OutgoingRequest:
+    """A request as it is sent to servers, once or several times."""
+
+    request: CallerRequest
+    request_id: bytes | None
+    is_idempotent: bool
+    deadline: float
+    """When the caller stops waiting, in seconds of the monotonic clock."""
+    on_sent: Callable[[], None]
+    """Called right before the first byte is sent: from here on a server may run the request."""
+    used_connections: set[ClientConnection] = field(default_factory=set)
+    """Not used again: a copy of a refusal bears the request's id too, so that only another
+    connection distinguishes it from the response to the next send."""
+
+
+async def send_direct(
+    shared: SharedState, entry: ServerEntry, outgoing: OutgoingRequest
+) -> ServerResponse:
+    """Send a request over an idle or a new connection; raises `SendError`."""
+    connection = await shared.pool.acquire(
+        entry, not outgoing.is_idempotent, outgoing.used_connections
+    )
+    outgoing.used_connections.add(connection)
+    outgoing.on_sent()
+    started = now()
+    is_reused = connection.used > 0
+
+    def matches(response: ServerResponse) -> bool:
+        return _is_own_response(shared, response, outgoing.request_id, is_reused)
+
+    try:
+        response = await connection.send(
+            _encode(shared, entry.id, outgoing), matches, outgoing.request.method == b"HEAD"
+        )
+    except SendError as error:
+        is_lost = error.failure == SendFailure.LOST
+        if is_lost and shared.pool.note_lost(entry, connection, now() - started):
+            log.info("idle connection lost", server=entry.id, rested_s=connection.idle_s)
+            raise SendError(SendFailure.STALE, error.detail) from error
+        raise
+    shared.pool.release(entry, connection, shared.max_idle(entry.service))
+    return response
+
+
+def may_have_run(kind: ResponseKind) -> bool:
+    """Whether a server may have run the request that it answered."""
+    return kind not in (ResponseKind.NOT_RUN, ResponseKind.OTHER_SERVER)
+
+
+def _encode(shared: SharedState, server_id: str, outgoing: OutgoingRequest) -> bytes:
+    adapter = shared.adapter
+    added = adapter.forward_headers(server_id, outgoing.deadline - now())
+    return encode_request(outgoing.request, adapter.reserved_headers, added)
+
+
+def _is_own_response(
+    shared: SharedState, response: ServerResponse, request_id: bytes | None, is_reused: bool
+) -> bool:
+    """Whether a response belongs to this request.
+
+    One without an id may be a late copy of the response to an earlier request on a reused
+    connection.
+    """
+    shared.adapter.read_response(response)
+    if response.request_id is None:
+        return not is_reused
+    return response.request_id == request_id
