Detect silent links between instances like silent servers

A link to an instance that went silent was only given up by a ping after up to 10 s, and each call over it waited for its own timeout. The comment at the options for servers and the store promised 3 s, but a TCP_USER_TIMEOUT also ends keep-alive probes: it is 2 s. One function now sets the options for all three kinds of connection and says so once.

--- a/papayalever/cluster/links.py
+++ b/papayalever/cluster/links.py
@@ -12,6 +12,7 @@
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import ConnectionClosed, WebSocketException
 
+from ..sockets import detect_silent_peer
 from .codec import decode, encode
 from .exceptions import CodecError, PeerTimeoutError, PeerUnreachableError
 
@@ -56,6 +57,7 @@
             # A malformed address raises the last two.
             self.is_closed = True
             raise PeerUnreachableError(f"The connection to {self.address} failed.") from error
+        detect_silent_peer(self._socket.transport.get_extra_info("socket"))
         self._reader = asyncio.create_task(self._read_replies(), name=f"link-{self.address}")
 
     async def request(self, message: Any) -> Any:
--- a/papayalever/entry/connection.py
+++ b/papayalever/entry/connection.py
@@ -7,17 +7,11 @@
 
 import httptools
 
+from ..sockets import detect_silent_peer
 from .clock import now
 from .framing import BodyMemory, FramingMeter
 from .messages import ServerResponse
 
-KEEPALIVE_IDLE_S = 1
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_COUNT = 2
-"""TCP keep-alive detects a dead connection within 3 s: less than the 4 s within which the bounds
-must hold again."""
-USER_TIMEOUT_MS = 1500
-"""Limit on unacknowledged data (TCP_USER_TIMEOUT): four retransmissions within one region."""
 MAX_RESPONSE_BYTES = 32 * 1024 * 1024
 """Limit on a buffered response body, which `BodyMemory` lowers while other bodies are held."""
 MAX_SKIPPED_RESPONSES = 4
@@ -88,7 +82,10 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the socket options that detect dead peers early."""
         self._transport = transport
-        _set_options(transport.get_extra_info("socket"))
+        sock = transport.get_extra_info("socket")
+        detect_silent_peer(sock)
+        if sock:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def data_received(self, data: bytes) -> None:
         """Parse received data; unsolicited bytes make the connection unusable."""
@@ -281,14 +278,3 @@
         if name.lower() == b"timeout" and text.isdigit():
             return float(text)
     return None
-
-
-def _set_options(sock: socket.socket | None) -> None:
-    if sock is None:
-        return
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_COUNT)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
