Tell a lost path from a lost server

Cause: a failed connection counted as the server's failure, and three in a row, from whatever sender, ejected the server for everybody. Class: evidence of a path used as evidence of an end. Now a failure is undecided until the sender has connected to another server, or failed to at a second one; one attempt at a time, and its connection is kept. Only then is the permit released with the outcome, so that owners need no new message, and a dead server still costs three failures. Ruled out: counting by sender at the owner (16 of 22 look like a dead server), and the sender's last good answers (older than the cut at 6 requests a second).

--- a/papayalever/entry/connection.py
+++ b/papayalever/entry/connection.py
@@ -36,12 +36,20 @@
 class SendError(Exception):
     """A send failed; ``failure`` tells whether the request may have run."""
 
-    def __init__(self, failure: SendFailure, detail: str = "", is_refused: bool = False) -> None:
+    def __init__(
+        self,
+        failure: SendFailure,
+        detail: str = "",
+        is_refused: bool = False,
+        is_server_fault: bool | None = None,
+    ) -> None:
         super().__init__(f"{failure}: {detail}" if detail else str(failure))
         self.failure = failure
         self.detail = detail
         self.is_refused = is_refused
         """Whether the peer refused the TCP connection: no process listens at the address."""
+        self.is_server_fault = is_server_fault
+        """Whether the server is to blame and not the path to it, None if that is not decided."""
 
 
 class ClientConnection(asyncio.Protocol):
--- a/papayalever/entry/exchange.py
+++ b/papayalever/entry/exchange.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import time
+from collections.abc import Awaitable
 from dataclasses import dataclass, field
 
 import logbook
@@ -48,6 +49,10 @@
 SHED_RETRY_AFTER_S = 0.05
 """Retry-After of a request that a server with room refused: there is nothing to wait for."""
 SHED_WITH_ROOM = "server with room refused"
+NO_WAY = "no instance reaches the server"
+PATH_LOST = "the path to the server was lost"
+SERVERS_NOT_TO_BLAME = frozenset((SendFailure.STALE, SHED_WITH_ROOM, NO_WAY, PATH_LOST))
+"""Failures after which a request may be sent to the same server again."""
 MAX_LOGGED_VALUE_BYTES = 40
 """Longest part of a malformed header that is logged."""
 MIN_SEND_TIME_S = 0.02
@@ -105,6 +110,8 @@
         self._search_scope: asyncio.Timeout | None = None
         """Ends the wait for a server at that time."""
         self._excluded_ids: set[str] = set()
+        self._unreached_ids: set[str] = set()
+        """Servers that were out of reach, used again once that turns out to be the own path."""
         self._connect_failures = 0
         self._send_count = 0
         self._used_connections: set[ClientConnection] = set()
@@ -173,12 +180,18 @@
             if isinstance(outcome, Response):
                 return outcome
             self.trace.failures.append(outcome)
-            if outcome not in (SendFailure.STALE, SHED_WITH_ROOM):
-                self._excluded_ids.add(permit.server.id)
+            self._exclude(permit.server, outcome)
             self._shared.metrics.count("failed_sends", outcome)
             if not self._may_retry():
                 return self._final_response(outcome)
 
+    def _exclude(self, server: Server, outcome: str) -> None:
+        """Send to other servers after a failure, unless it says nothing about this one."""
+        if outcome == SendFailure.NOT_CONNECTED:
+            self._unreached_ids.add(server.id)
+        elif outcome not in SERVERS_NOT_TO_BLAME:
+            self._excluded_ids.add(server.id)
+
     async def _wait_for_permit(self) -> Permit | None:
         """Get a permit, unless the request gives way to an urgent one on its connection."""
         shortest_s = self._shared.routes.shortest_target_s
@@ -278,7 +291,9 @@
         usable = (
             server
             for server in self._placement.order(claim, time.time())
-            if server.id not in self._excluded_ids and server.is_available(at)
+            if server.id not in self._excluded_ids
+            and server.id not in self._unreached_ids
+            and server.is_available(at)
         )
         own = next(usable, None)
         with_room = (server for server in usable if server.has_limit_room(at))
@@ -298,11 +313,8 @@
         """Send once; returns the response for the caller, or the reason why there is none."""
         shared, server = self._shared, permit.server
         started, ran_s, running, end = now(), 0.0, -1, SendOutcome.UNKNOWN
-        self.trace.servers.append(server.id)
-        self.trace.loads.append(server.load(started))
-        self.trace.permits.append(str(permit.source))
-        if (limit_per_s := shared.limits.find(server.entry)) is not None:
-            self.trace.limits[server.id] = limit_per_s
+        fault: Awaitable[bool] | None = None
+        self._trace_send(permit, started)
         try:
             response = await self._send(server)
             kind = shared.adapter.read_response(response)
@@ -319,17 +331,27 @@
         except SendError as error:
             if error.failure == SendFailure.STALE:
                 return str(error.failure)
-            end = SendOutcome.FAILED
+            fault = asyncio.ensure_future(self._find_fault(server, error))
             if error.failure == SendFailure.LOST:
-                await self._note_crash(server)
-            elif error.failure == SendFailure.GARBLED:
-                log.warning("response not accepted", server=server.id, error=error.detail)
+                await asyncio.shield(fault)
             return self._note_failed(server, error)
         except asyncio.CancelledError:
-            end = classify_unanswered(now() - started, self._route.target_latency_s)
+            if not shared.paths.reachability.was_cut_since(started):
+                end = classify_unanswered(now() - started, self._route.target_latency_s)
             raise
         finally:
-            self._permit_broker.note_end(permit, ran_s, running, end)
+            if fault:
+                self._permit_broker.note_failed(permit, fault)
+            else:
+                self._permit_broker.note_end(permit, ran_s, running, end)
+
+    def _trace_send(self, permit: Permit, started: float) -> None:
+        server = permit.server
+        self.trace.servers.append(server.id)
+        self.trace.loads.append(server.load(started))
+        self.trace.permits.append(str(permit.source))
+        if (limit_per_s := self._shared.limits.find(server.entry)) is not None:
+            self.trace.limits[server.id] = limit_per_s
 
     async def _send(self, server: Server) -> ServerResponse:
         may_have_run_before = self.trace.may_have_run
@@ -415,15 +437,29 @@
             )
         return self._digest
 
-    async def _note_crash(self, server: Server) -> None:
-        """Record a crash if the server refuses connections right after it broke one."""
+    async def _find_fault(self, server: Server, error: SendError) -> bool:
+        """Whether a failed send is the server's fault, and not that of the path to it.
+
+        Records a crash if the server refuses connections right after it broke one.
+        """
+        if error.is_server_fault is not None:
+            return error.is_server_fault
+        if error.failure == SendFailure.NOT_CONNECTED:
+            return await self._shared.paths.is_server_fault(server)
+        if error.failure != SendFailure.LOST:
+            log.warning("response not accepted", server=server.id, error=error.detail)
+            return True
+        if self._shared.paths.is_cut:
+            return False
         try:
             connection = await self._shared.pool.open(server.entry)
-        except SendError as error:
-            if error.is_refused:
+        except SendError as connect_error:
+            is_server_fault = await self._shared.paths.is_server_fault(server)
+            if connect_error.is_refused and is_server_fault:
                 self._shared.crashes.note(self._request_digest(), server.id, now())
-            return
+            return is_server_fault
         connection.close()
+        return True
 
     def _may_retry_error(self) -> bool:
         """Whether the request may be retried on another server after an error response."""
@@ -438,6 +474,10 @@
 
     def _note_failed(self, server: Server, error: SendError) -> str:
         servers = self._shared.servers
+        is_own_path = self._shared.paths.is_cut and error.is_server_fault is None
+        if is_own_path or error.is_server_fault is False:
+            self._connect_failures += error.failure == SendFailure.NOT_CONNECTED
+            return NO_WAY if error.failure == SendFailure.NOT_CONNECTED else PATH_LOST
         if error.failure == SendFailure.NOT_CONNECTED:
             self._connect_failures += 1
             servers.note_failure(server, now())
--- a/papayalever/entry/instance.py
+++ b/papayalever/entry/instance.py
@@ -14,7 +14,12 @@
 import msgspec
 
 from ..cluster.links import LinkPool, LinkServer
-from ..cluster.messages import AcquirePermit, AwaitPermit, Follow, ReleasePermit
+from ..cluster.messages import (
+    AcquirePermit,
+    AwaitPermit,
+    Follow,
+    ReleasePermit,
+)
 from ..routing.owners import Owners
 from ..routing.permits import PermitScheduler
 from ..routing.placement import Placement
@@ -33,6 +38,7 @@
 from .messages import CallerRequest, RequestMeta, Response
 from .metrics import EntryMetrics
 from .own_objects import InvalidOwnObjectError, read_instance
+from .path_monitor import PathMonitor
 from .permit_broker import PermitBroker, log_health
 from .pool import ConnectionPool
 from .settings import EntrySettings
@@ -94,6 +100,9 @@
         servers, limits = ServerTable(), ServerLimits()
         body_memory = BodyMemory(int(settings.memory_mb * BODY_MEMORY_SHARE * 1024 * 1024))
         self.metrics = EntryMetrics(self._read_gauges)
+        pool = ConnectionPool(body_memory)
+        paths = PathMonitor(servers, pool, rng)
+        pool.on_connected = paths.note_connected
         self.shared = SharedState(
             adapter=adapter,
             bounds=settings.bounds,
@@ -101,7 +110,8 @@
             servers=servers,
             limits=limits,
             splitter=WeightedRoundRobin(),
-            pool=ConnectionPool(body_memory),
+            pool=pool,
+            paths=paths,
             crashes=CrashTracker(store, settings.instance),
             metrics=self.metrics,
             body_memory=body_memory,
@@ -205,6 +215,7 @@
             "registration": self._register,
             "sweep": self._sweep,
             "housekeeping": self._housekeeping.run,
+            "path monitor": self.shared.paths.run,
         }
         tasks = [loop.create_task(supervise(name, work)) for name, work in work_by_name.items()]
         settings = self.settings
@@ -317,6 +328,7 @@
             "requests_waiting": float(len(self.permit_broker)),
             "requests_sent": float(sum(item.in_flight for item in servers.server_by_id.values())),
             "body_bytes": float(self.shared.body_memory.used),
+            "reaches_servers": float(not self.shared.paths.is_cut),
             "server_connections_opened": float(self.shared.pool.opened),
         }
 
@@ -359,14 +371,17 @@
         route = shared.routes.match(request.host, request.path)
         if route is None:
             return Response(404, [], b"no route\n", "no route")
-        plan = self._stop_plan
-        if plan and now() >= plan.forward_until:
+        if self._sends_nothing():
             return refuse(shared, STOPPING, RETRY_AFTER_S)
         exchange = Exchange(shared, self.permit_broker, self._placement, request, meta, route)
-        if plan:
-            exchange.note_stop(plan)
+        if self._stop_plan:
+            exchange.note_stop(self._stop_plan)
         return exchange
 
+    def _sends_nothing(self) -> bool:
+        """Whether no new request is sent to a server, since this instance stops."""
+        return self._stop_plan is not None and now() >= self._stop_plan.forward_until
+
     def _log_response(
         self,
         request: CallerRequest,
--- a/papayalever/entry/permit_broker.py
+++ b/papayalever/entry/permit_broker.py
@@ -184,6 +184,18 @@
         self._servers.note_end(permit.server)
         self.release(permit, ran_s, running, end)
 
+    def note_failed(self, permit: Permit, is_server_fault: Awaitable[bool]) -> None:
+        """Record the end of a send that did not reach the server.
+
+        The permit is released once it is known whose fault that is.
+        """
+        self._servers.note_end(permit.server)
+        self._spawn(self._release_when_decided(permit, is_server_fault))
+
+    async def _release_when_decided(self, permit: Permit, is_server_fault: Awaitable[bool]) -> None:
+        end = SendOutcome.FAILED if await is_server_fault else SendOutcome.UNKNOWN
+        self.release(permit, 0.0, -1, end)
+
     def _is_local(self, permit: Permit) -> bool:
         return permit.owner is None or permit.owner.name == self._own.name
 
--- a/papayalever/entry/pool.py
+++ b/papayalever/entry/pool.py
@@ -2,10 +2,11 @@
 
 import asyncio
 from collections import defaultdict, deque
-from collections.abc import Container
+from collections.abc import Callable, Container
 
 from ..routing.idle import IdleLimit
 from ..routing.servers import ServerEntry
+from ..sockets import SILENT_S
 from .connection import ClientConnection, connect
 from .framing import BodyMemory
 
@@ -18,6 +19,8 @@
 serve requests, and a server accepts fewer while its queue is long."""
 IDLE_MARGIN_S = 1.0
 """Subtracted from the idle timeout that a server announces: its close may already be in transit."""
+SILENT_MARGIN_S = 1.0
+"""Added to the time after which the system closes silent connections, for late timers."""
 
 
 class ConnectionPool:
@@ -25,6 +28,8 @@
 
     def __init__(self, body_memory: BodyMemory) -> None:
         self._body_memory = body_memory
+        self.on_connected: Callable[[], None] = lambda: None
+        """Called after each new connection."""
         self._idle_by_id: dict[str, deque[ClientConnection]] = {}
         self._trust_by_service: defaultdict[str, IdleLimit] = defaultdict(IdleLimit)
         self.opened = 0
@@ -35,15 +40,26 @@
         must_not_retry: bool,
         excluded: Container[ClientConnection] = (),
     ) -> ClientConnection:
-        """Take an idle connection or open a new one; raises `SendError`.
+        """Take an idle connection or open a new one; raises `SendError`."""
+        return self.take_idle(server, must_not_retry, excluded) or await self.open(server)
+
+    def take_idle(
+        self,
+        server: ServerEntry,
+        must_not_retry: bool,
+        excluded: Container[ClientConnection] = (),
+        cut_since: float | None = None,
+    ) -> ClientConnection | None:
+        """Take an idle connection, if there is one.
 
         Connections for requests that must not be retried are reused only after short idle times.
+        During a cut that began at ``cut_since`` only those are used that have proved to live on.
         """
         now = asyncio.get_running_loop().time()
         trusted_s = self._trust_by_service[server.service].limit_s(must_not_retry, now)
         idle = self._idle_by_id.get(server.id, deque())
         for connection in reversed(idle.copy()):
-            if connection in excluded:
+            if connection in excluded or not _is_live(connection, cut_since, now):
                 continue
             idle_s = now - connection.idle_since
             is_expired = not connection.is_usable or idle_s > _idle_limit(connection)
@@ -54,12 +70,23 @@
                 connection.idle_s = idle_s
                 return connection
             connection.close()
-        return await self.open(server)
+        return None
+
+    def has_live(self, cut_since: float) -> bool:
+        """Whether any idle connection has proved to live on during a cut."""
+        now = asyncio.get_running_loop().time()
+        return any(
+            connection.is_usable and _is_live(connection, cut_since, now)
+            for idle in self._idle_by_id.values()
+            for connection in idle
+        )
 
     async def open(self, server: ServerEntry) -> ClientConnection:
         """Open a new connection; raises `SendError`."""
         self.opened += 1
-        return await connect(server.address, CONNECT_TIMEOUT_S, self._body_memory)
+        connection = await connect(server.address, CONNECT_TIMEOUT_S, self._body_memory)
+        self.on_connected()
+        return connection
 
     def note_lost(
         self, server: ServerEntry, connection: ClientConnection, ended_after_s: float
@@ -99,6 +126,13 @@
     return max(1, int(connections * IDLE_CONNECTION_SHARE / max(1, instances)))
 
 
+def _is_live(connection: ClientConnection, cut_since: float | None, now: float) -> bool:
+    """Whether a connection was used since a cut began, or would be closed if it were silent."""
+    if cut_since is None or connection.idle_since >= cut_since:
+        return True
+    return now - cut_since > SILENT_S + SILENT_MARGIN_S
+
+
 def _idle_limit(connection: ClientConnection) -> float:
     announced_s = connection.idle_limit_s
     return DEFAULT_IDLE_LIMIT_S if announced_s is None else max(0.0, announced_s - IDLE_MARGIN_S)
--- a/papayalever/entry/sending.py
+++ b/papayalever/entry/sending.py
@@ -32,10 +32,13 @@
 
 
 async def send_direct(
-    shared: SharedState, entry: ServerEntry, outgoing: OutgoingRequest
+    shared: SharedState,
+    entry: ServerEntry,
+    outgoing: OutgoingRequest,
+    connection: ClientConnection | None = None,
 ) -> ServerResponse:
-    """Send a request over an idle or a new connection; raises `SendError`."""
-    connection = await shared.pool.acquire(
+    """Send a request over the given, an idle or a new connection; raises `SendError`."""
+    connection = connection or await shared.pool.acquire(
         entry, not outgoing.is_idempotent, outgoing.used_connections
     )
     outgoing.used_connections.add(connection)
--- a/papayalever/entry/shared.py
+++ b/papayalever/entry/shared.py
@@ -12,6 +12,7 @@
 from .framing import BodyMemory
 from .messages import RequestMeta, ResponseKind, ServerResponse
 from .metrics import EntryMetrics
+from .path_monitor import PathMonitor
 from .pool import ConnectionPool, max_idle_per_instance
 from .settings import Bounds
 
@@ -43,6 +44,7 @@
     limits: ServerLimits
     splitter: WeightedRoundRobin
     pool: ConnectionPool
+    paths: PathMonitor
     crashes: CrashTracker
     metrics: EntryMetrics
     body_memory: BodyMemory
--- a/papayalever/routing/servers.py
+++ b/papayalever/routing/servers.py
@@ -195,6 +195,12 @@
         eject_s = min(MAX_EJECT_S, FIRST_EJECT_S * 2 ** (server.failures - 1))
         server.ejected_until = now + eject_s
 
+    def clear_failures(self, server_ids: Iterable[str]) -> None:
+        """Use servers again whose failures turned out to be this instance's own."""
+        for server_id in server_ids:
+            if server := self.server_by_id.get(server_id):
+                server.failures, server.ejected_until = 0, float("-inf")
+
     def _regroup(self) -> None:
         grouped: dict[str, list[Server]] = {}
         for server in sorted(self.server_by_id.values(), key=lambda item: item.id):
