Send by way of another instance while this one reaches no server

Cause: a request had one way only; it gave up after its own failed connections, although other instances reached the servers. Ruled out: naming others in the directory (callers keep an answer for up to three times its time), and handing the whole request over (permits, retry budget and what may have run in two places). Now an instance that is cut off keeps the request and has the single send made by another one, over links of their own: one id, one deadline, one permit, one hop. It asks few instances who carries, prefers its region, chooses by capacity over sends carried, and keeps to the homes of a route. A caller that leaves ends it at the server; a lost link too. When nobody carries, it refuses before it takes a permit. Open connections that live on are used. After a cut of all instances the servers are found again within 1 s, with at most one attempt each 0.25 s.

--- a/papayalever/cluster/codec.py
+++ b/papayalever/cluster/codec.py
@@ -51,6 +51,11 @@
     messages.ReleasePermit,
     messages.PackedSnapshot,
     messages.HeldState,
+    messages.AskCarrier,
+    messages.CarrierOffer,
+    messages.Carry,
+    messages.Carried,
+    messages.CancelCarry,
 )
 """The position of a class determines its tag."""
 TYPE_BY_TAG = {FIRST_TAG + index: cls for index, cls in enumerate(MESSAGE_TYPES)}
--- a/papayalever/cluster/links.py
+++ b/papayalever/cluster/links.py
@@ -145,6 +145,15 @@
                 await link.close()
             raise PeerTimeoutError(f"{address} did not answer within {timeout_s:g} s.") from error
 
+    async def open(self, address: str, timeout_s: float) -> None:
+        """Connect to a peer unless that is done; raises `PeerUnreachableError`."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                if self._find_link(address) is None:
+                    await self._open_link(address)
+        except TimeoutError as error:
+            raise PeerTimeoutError(f"{address} did not accept a connection.") from error
+
     async def notify(self, address: str, message: Any, timeout_s: float = 1.0) -> None:
         """Send a message without waiting for a reply; raises `PeerUnreachableError`."""
         try:
@@ -241,9 +250,10 @@
 
     async def _serve_peer(self, socket: ServerConnection) -> None:
         self._sockets.add(socket)
+        tasks: set[asyncio.Task] = set()
         try:
             async for frame in socket:
-                await self._handle_frame(socket, frame)
+                await self._handle_frame(socket, frame, tasks)
         except ConnectionClosed:
             return
         except Exception as error:
@@ -252,14 +262,19 @@
             socket.transport.abort()
         finally:
             self._sockets.discard(socket)
+            # Nobody gets the replies any more.
+            for task in tasks:
+                task.cancel()
 
-    async def _handle_frame(self, socket: ServerConnection, frame: bytes) -> None:
+    async def _handle_frame(
+        self, socket: ServerConnection, frame: bytes, tasks: set[asyncio.Task]
+    ) -> None:
         self.received_messages += 1
         self.bytes += len(frame)
         call_id, message = decode(frame)
         result = self._handle(message)
         if inspect.isawaitable(result):
-            self._reply_later(socket, call_id, result)
+            self._reply_later(socket, call_id, result, tasks)
         elif call_id:
             await self._send(socket, call_id, result)
 
@@ -281,7 +296,10 @@
             with suppress(ConnectionClosed):
                 await self._send(socket, call_id, reply)
 
-    def _reply_later(self, socket: ServerConnection, call_id: int, result: Awaitable) -> None:
+    def _reply_later(
+        self, socket: ServerConnection, call_id: int, result: Awaitable, tasks: set[asyncio.Task]
+    ) -> None:
         task = asyncio.create_task(self._reply_when_done(socket, call_id, result))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        for started in (self._tasks, tasks):
+            started.add(task)
+            task.add_done_callback(started.discard)
--- a/papayalever/cluster/messages.py
+++ b/papayalever/cluster/messages.py
@@ -374,6 +374,72 @@
     """Start time of the replying instance; the store may still list its previous run."""
 
 
+@dataclass(frozen=True, slots=True)
+class AskCarrier:
+    """Asks whether an instance reaches backend servers and would send requests for ``instance``."""
+
+    instance: str
+
+
+@dataclass(frozen=True, slots=True)
+class CarrierOffer:
+    """Whether the sender reaches backend servers and sends requests for others."""
+
+    does_carry: bool
+    carried: int
+    """Sends that it makes for other instances at present."""
+
+
+@dataclass(frozen=True, slots=True)
+class Carry:
+    """One send to a backend server, for an instance that does not reach it."""
+
+    instance: str
+    number: int
+    """Identifies the send together with ``instance``."""
+    server: str
+    is_idempotent: bool
+    is_repeat: bool
+    """Whether the request was sent before, so that it needs a connection of its own."""
+    left_ms: int
+    """Time until the caller stops waiting."""
+    request_id: bytes
+    """Empty if the request has none."""
+    method: bytes
+    target: bytes
+    headers: list[tuple[bytes, bytes]]
+    host: str
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Carried:
+    """End of a send that another instance made: the response, or why there is none."""
+
+    is_sent: bool
+    """Whether any byte of the request may have reached the server."""
+    failure: str = ""
+    """A value of `entry.connection.SendFailure`, empty if there is a response or nothing was sent
+    because the sender does not carry the request."""
+    detail: str = ""
+    is_server_fault: bool = False
+    """Whether the server is to blame for a failed connection."""
+    status: int = 0
+    reason: bytes = b""
+    headers: list[tuple[bytes, bytes]] = field(default_factory=list)
+    body: bytes = b""
+    head_age_ms: int = 0
+    """Time since the head of the response arrived."""
+
+
+@dataclass(frozen=True, slots=True)
+class CancelCarry:
+    """The caller of a carried request left, or its time is over."""
+
+    instance: str
+    number: int
+
+
 class PermitState(StrEnum):
     """Decision of a backend server's owner about a permit."""
 
--- a/papayalever/entry/exchange.py
+++ b/papayalever/entry/exchange.py
@@ -12,9 +12,11 @@
 from ..routing.permits import PermitDecision
 from ..routing.pipelining import Turn, find_blocking, is_delay_tolerant
 from ..routing.placement import Placement, PlacementKey
+from ..routing.reachability import MAX_PROBE_PAUSE_S
 from ..routing.routes import RouteRule
 from ..routing.server_limits import LimitReport
 from ..routing.servers import Server
+from .carrying import CarryClient
 from .clock import now
 from .connection import ClientConnection, SendError, SendFailure
 from .forwarding import end_to_end_headers
@@ -73,6 +75,8 @@
     limits: dict[str, float] = field(default_factory=dict)
     """Known limits of the servers in requests per second, by server, when they were selected."""
     failures: list[str] = field(default_factory=list)
+    carriers: list[str] = field(default_factory=list)
+    """Instances by way of which it was sent, since this one reached no server."""
     refused_ms: dict[str, float] = field(default_factory=dict)
     """Expected wait in milliseconds by server, for servers whose owner refused the request."""
     may_have_run: bool = False
@@ -86,6 +90,7 @@
         self,
         shared: SharedState,
         permit_broker: PermitBroker,
+        carry_client: CarryClient,
         placement: Placement,
         request: CallerRequest,
         meta: RequestMeta,
@@ -93,6 +98,7 @@
     ) -> None:
         self._shared = shared
         self._permit_broker = permit_broker
+        self._carry_client = carry_client
         self._placement = placement
         self._retry_after_s = MIN_RETRY_AFTER_S
         self._request = request
@@ -112,6 +118,7 @@
         self._excluded_ids: set[str] = set()
         self._unreached_ids: set[str] = set()
         """Servers that were out of reach, used again once that turns out to be the own path."""
+        self._is_cut_known = False
         self._connect_failures = 0
         self._send_count = 0
         self._used_connections: set[ClientConnection] = set()
@@ -136,6 +143,7 @@
             "permits": trace.permits,
             "limits": trace.limits,
             "failures": trace.failures,
+            "carriers": trace.carriers,
             "refused_ms": trace.refused_ms,
             "may_have_run": trace.may_have_run,
         }
@@ -164,6 +172,9 @@
         while True:
             if self._is_quarantined():
                 return self._final_response("the request crashed servers")
+            if not await self._find_way():
+                self._retry_after_s = MAX_PROBE_PAUSE_S
+                return self._final_response(NO_WAY)
             try:
                 async with asyncio.timeout_at(self._send_until) as self._search_scope:
                     permit = await self._wait_for_permit()
@@ -192,6 +203,22 @@
         elif outcome not in SERVERS_NOT_TO_BLAME:
             self._excluded_ids.add(server.id)
 
+    async def _find_way(self) -> bool:
+        """Whether this instance, or another one for it, reaches the servers.
+
+        Load pattern: a cut instance would take permits that it cannot use.
+        """
+        paths = self._shared.paths
+        if not paths.is_cut:
+            return True
+        if not self._is_cut_known:
+            self._is_cut_known = True
+            self._unreached_ids.clear()
+            self._connect_failures = 0
+        if await self._carry_client.find(self._route.regions):
+            return True
+        return paths.cut_since is None or self._shared.pool.has_live(paths.cut_since)
+
     async def _wait_for_permit(self) -> Permit | None:
         """Get a permit, unless the request gives way to an urgent one on its connection."""
         shortest_s = self._shared.routes.shortest_target_s
@@ -357,7 +384,7 @@
         may_have_run_before = self.trace.may_have_run
         send_count_before = self._send_count
         try:
-            response = await send_direct(self._shared, server.entry, self._outgoing())
+            response = await self._send_some_way(server)
         except SendError as error:
             if error.failure == SendFailure.NOT_CONNECTED:
                 self.trace.may_have_run = may_have_run_before
@@ -367,6 +394,22 @@
             self.trace.may_have_run = may_have_run_before
         return response
 
+    async def _send_some_way(self, server: Server) -> ServerResponse:
+        """Send over an own connection, or while this instance is cut off by way of another one."""
+        shared, outgoing, entry = self._shared, self._outgoing(), server.entry
+        if not shared.paths.is_cut:
+            return await send_direct(shared, entry, outgoing)
+        connection = shared.pool.take_idle(
+            entry, not self._route.is_idempotent, self._used_connections, shared.paths.cut_since
+        )
+        if connection:
+            return await send_direct(shared, entry, outgoing, connection)
+        carrier = self._carry_client.choose(self._route.regions)
+        if carrier is None:
+            raise SendError(SendFailure.NOT_CONNECTED, NO_WAY, is_server_fault=False)
+        self.trace.carriers.append(carrier.name)
+        return await self._carry_client.send(carrier, entry, outgoing, self._send_count > 0)
+
     def _outgoing(self) -> OutgoingRequest:
         return OutgoingRequest(
             self._request,
--- a/papayalever/entry/instance.py
+++ b/papayalever/entry/instance.py
@@ -16,7 +16,10 @@
 from ..cluster.links import LinkPool, LinkServer
 from ..cluster.messages import (
     AcquirePermit,
+    AskCarrier,
     AwaitPermit,
+    CancelCarry,
+    Carry,
     Follow,
     ReleasePermit,
 )
@@ -28,6 +31,8 @@
 from ..routing.server_limits import ServerLimits
 from ..routing.servers import ServerTable
 from .caller import CallerConnection, Handler
+from .carried import CarryServer
+from .carrying import CarryClient
 from .clock import now
 from .crashes import CRASH_KIND, CrashTracker
 from .exchange import Exchange, refuse
@@ -130,6 +135,9 @@
         self._is_listening = False
         self._tree = ReplicationTree(_own_entry(settings, int(time.time() * 1000)))
         self._links = LinkPool()
+        self._carry_links = LinkPool()
+        self.carry_client = CarryClient(self._tree, self._carry_links, rng)
+        self.carry_server = CarryServer(self.shared, paths, lambda: self.is_leaving)
         owners = Owners()
         self.permit_broker = PermitBroker(
             self._tree.own,
@@ -251,6 +259,7 @@
             connection.abort()
         await self._peers.close()
         await self._links.close()
+        await self._carry_links.close()
         self.shared.pool.sweep(set())
 
     # Listeners.
@@ -329,6 +338,7 @@
             "requests_sent": float(sum(item.in_flight for item in servers.server_by_id.values())),
             "body_bytes": float(self.shared.body_memory.used),
             "reaches_servers": float(not self.shared.paths.is_cut),
+            "sends_carried": float(len(self.carry_server)),
             "server_connections_opened": float(self.shared.pool.opened),
         }
 
@@ -373,7 +383,9 @@
             return Response(404, [], b"no route\n", "no route")
         if self._sends_nothing():
             return refuse(shared, STOPPING, RETRY_AFTER_S)
-        exchange = Exchange(shared, self.permit_broker, self._placement, request, meta, route)
+        exchange = Exchange(
+            shared, self.permit_broker, self.carry_client, self._placement, request, meta, route
+        )
         if self._stop_plan:
             exchange.note_stop(self._stop_plan)
         return exchange
@@ -424,6 +436,12 @@
             return self.permit_broker.handle_await(message)
         if isinstance(message, ReleasePermit):
             return self.permit_broker.handle_release(message)
+        if isinstance(message, AskCarrier):
+            return self.carry_server.handle_ask(message)
+        if isinstance(message, Carry):
+            return self.carry_server.handle_carry(message)
+        if isinstance(message, CancelCarry):
+            return self.carry_server.handle_cancel(message)
         log.warning("unknown message", type=type(message).__name__)
         return None
 
@@ -514,7 +532,7 @@
             log.warning("entry not removed from the store", error=str(error))
         await asyncio.sleep(max(0.0, plan.accept_until - now()))
         caller_server.close()
-        while self._callers and now() < plan.close_by:
+        while (self._callers or len(self.carry_server)) and now() < plan.close_by:
             for connection in list(self._callers):
                 connection.drain()
             await asyncio.sleep(0.02)
--- a/tests/test_cut_from_servers.py
+++ b/tests/test_cut_from_servers.py
@@ -15,7 +15,7 @@
 from papayalever.entry.instance import EntryInstance
 
 from .support.cuts import Cut, ServerCut
-from .support.platform import Caller, Platform, Reply
+from .support.platform import Caller, Platform, Reply, configuration
 
 SETTLE_S = 1.0
 """Time after the start of a cut from which the bounds hold."""
@@ -52,7 +52,7 @@
         target, request_id = f"/{kind}/{number % 40}", f"t{id(self)}-{number}"
         caller.send(target, request_id, method, str(number % 40), body)
         reply = await caller.read()
-        reply.id = request_id
+        reply.id, reply.took_s = request_id, time.monotonic() - at
         caller.close()
         self.replies.append((at, instance, reply))
 
@@ -117,6 +117,143 @@
     async def test_callers_of_four_instances_with_open_connections_are_served(self):
         await self.cut(4, Cut.REFUSE_NEW)
 
+    async def test_callers_of_a_cut_failure_domain_are_served(self):
+        """All owners of its servers, and the reader of its region, are among the cut ones."""
+        cut_off = self.instances[:2]
+        server_cut, began = ServerCut(cut_off, Cut.HANG), time.monotonic()
+        await self.load.run(2.0)
+        second = ServerCut(self.instances[2:3], Cut.RESET)
+        await self.load.run(3.0)
+        server_cut.heal()
+        second.heal()
+        cut_off.append(self.instances[2])
+        others = self.instances[3:]
+        self.assertGreaterEqual(self.load.share_served(others, began), LEAST_OTHERS)
+        for instance in cut_off:
+            share = self.load.share_served([instance], began + SETTLE_S)
+            self.assertGreaterEqual(share, LEAST_SHARE)
+        self.assert_truthful()
+
+    async def test_servers_are_found_again_after_all_instances_were_cut_off(self):
+        server_cut = ServerCut(self.instances, Cut.RESET)
+        await self.load.run(2.0)
+        failing = [item.settings.instance for item in self.instances if not self.is_cut(item)]
+        self.assertEqual([], failing)
+        refused = [reply for _, _, reply in self.load.replies if reply.status == 503]
+        self.assertLess(max(reply.took_s for reply in refused), 1.0)
+        self.assertTrue(all(float(reply.headers["retry-after"]) > 0 for reply in refused))
+        attempts = server_cut.attempts
+        await asyncio.sleep(2.0)
+        # Each instance tries one server every 0.25 s at the most.
+        self.assertLessEqual(server_cut.attempts - attempts, 8 * len(self.instances))
+        server_cut.heal()
+        waited = await self.platform.wait(
+            lambda: not any(self.is_cut(item) for item in self.instances), "all are back", 3.0
+        )
+        self.assertLess(waited, SETTLE_S)
+        since = time.monotonic()
+        await self.load.run(1.0)
+        self.assertGreaterEqual(self.load.share_served(self.instances, since), LEAST_OTHERS)
+
+    async def test_cut_ends_no_server_for_others_and_records_no_crash(self):
+        ServerCut(self.instances[:4], Cut.RESET)
+        await self.load.run(2.0)
+        kinds = {kind for kind, _ in self.platform.store.objects}
+        self.assertNotIn("papayalever-crashes", kinds)
+
+    async def test_day_without_a_cut_has_no_message_about_carrying(self):
+        await self.load.run(1.0)
+        links = [item._carry_links.sent_messages for item in self.instances]
+        self.assertEqual([0] * len(links), links)
+
+    async def test_dead_servers_are_ejected_for_all_and_nobody_takes_it_for_a_cut(self):
+        await self.servers[0].stop()
+        await self.load.run(2.0)
+        since = time.monotonic()
+        await self.load.run(2.0)
+        self.assertFalse(any(self.is_cut(item) for item in self.instances))
+        self.assertGreaterEqual(self.load.share_served(self.instances, since), LEAST_OTHERS)
+
+    @staticmethod
+    def is_cut(instance: EntryInstance) -> bool:
+        return instance.shared.paths.is_cut
+
+
+class TestCarriedRequest(CutCase):
+    """One request whose instance is cut off."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.instance = self.instances[0]
+        ServerCut([self.instance], Cut.RESET)
+        await FirstTries(self.platform, [self.instance]).run(0.5)
+        self.assertTrue(self.instance.shared.paths.is_cut)
+
+    def arrived(self, request_id: str) -> list:
+        return [seen for item in self.servers for seen in item.seen if seen.id == request_id]
+
+    async def ask_slowly(self, request_id: str, run_s: float, **fields) -> Caller:
+        """Send a request that a server runs for a while, and wait until it does."""
+        for server in self.servers:
+            server.run_s = run_s
+        caller = await Caller.connect(self.instance.settings.caller_listener)
+        caller.send("/signoff/1", request_id, "POST", "1", b"lifted", **fields)
+        await self.platform.wait(lambda: bool(self.arrived(request_id)), "it runs")
+        return caller
+
+    def carrier(self) -> EntryInstance:
+        return next(item for item in self.instances if len(item.carry_server))
+
+    async def test_id_body_and_time_left_reach_the_server_unchanged(self):
+        reply = await self.platform.ask(
+            self.instance, "/signoff/7?a=b", id="one", method="POST", body=b"x" * 50_000
+        )
+        self.assertEqual(200, reply.status)
+        (seen,) = self.arrived("one")
+        self.assertEqual(("POST", "/signoff/7?a=b"), (seen.method, seen.target))
+        self.assertEqual(b"x" * 50_000, seen.body)
+        self.assertLessEqual(int(seen.headers["deadline-ms"]), 2000)
+        self.assertGreater(int(seen.headers["deadline-ms"]), 1000)
+        self.assertIn("response-seal", reply.headers)
+
+    async def test_caller_who_leaves_ends_it_at_the_server(self):
+        caller = await self.ask_slowly("left", 5.0)
+        caller.close()
+        await self.platform.wait(
+            lambda: sum(item.cut_short for item in self.servers) == 1, "it ends", 0.5
+        )
+        self.assertFalse(any(len(item.carry_server) for item in self.instances))
+
+    async def test_signoff_whose_carrier_dies_is_not_sent_again(self):
+        caller = await self.ask_slowly("died", 1.0)
+        await self.platform.kill(self.carrier().settings.instance)
+        reply = await caller.read()
+        self.assertEqual(502, reply.status)
+        self.assertEqual(1, len(self.arrived("died")))
+
+    async def test_carrier_that_stops_answers_what_it_carries(self):
+        caller = await self.ask_slowly("stop", 1.0)
+        carrier = self.carrier()
+        carrier.request_stop()
+        reply = await caller.read()
+        self.assertEqual(200, reply.status)
+        self.assertFalse(carrier.carry_server.handle_ask(None).does_carry)
+
+    async def test_instance_that_is_cut_off_carries_nothing(self):
+        self.assertFalse(self.instance.carry_server.handle_ask(None).does_carry)
+
+    async def test_requests_with_a_home_are_carried_in_it(self):
+        homes = {"lookup": {"allowed_regions": ["midden"]}}
+        self.platform.store.put("config", "main", configuration(9, **homes))
+        await self.platform.wait(
+            lambda: all(item.shared.routes.version == 9 for item in self.instances), "in force"
+        )
+        for number in range(10):
+            reply = await self.platform.ask(self.instance, f"/lookup/{number}", id=f"h{number}")
+            self.assertEqual(200, reply.status)
+        carried = [item.metrics.counts["carried_sends", "logboek"] for item in self.instances]
+        self.assertGreaterEqual(carried[4] + carried[5], 10)
+
 
 if __name__ == "__main__":
     unittest.main()
