Send nothing to a server that says in its answers that it leaves

What callers saw: requests still reached a server that had said it was leaving (DRAIN), as nothing read the header. Cause: leaving was only known from the store's entry, which says nothing while the store is away or when the server leaves without an entry. Class: a source of the same fact that no path asks. The header is decoded once, in platform/, from the head of each response: whole ones, refusals, answers that break off, carried ones; not from a 421, which is another server's. The server's table keeps it by incarnation, so that an entry that lapses and returns changes nothing, and a new start time ends it. Owners hear it with the release of a permit and tell whoever asks; requests that wait for the server go elsewhere, a permit that is not used is given back, and the send itself asks once more after its connection is there.

--- a/papayalever/cluster/messages.py
+++ b/papayalever/cluster/messages.py
@@ -491,6 +491,8 @@
     limit_per_s: float = NO_LIMIT
     limit_age_ms: int = NO_REPORT
     """Limit of the server, as in `AcquirePermit`."""
+    is_leaving: bool = False
+    """Whether the server said that it leaves."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -508,3 +510,5 @@
     limit_per_s: float = NO_LIMIT
     limit_age_ms: int = NO_REPORT
     """Limit of the server, as in `AcquirePermit`."""
+    is_leaving: bool = False
+    """Whether the server said that it leaves."""
--- a/papayalever/entry/carried.py
+++ b/papayalever/entry/carried.py
@@ -48,7 +48,7 @@
         server = self._shared.servers.server_by_id.get(message.server)
         obstacle = self._find_obstacle()
         if not obstacle and (server is None or not self._shared.servers.may_send(server)):
-            obstacle = "the server is not in use here"
+            return Carried(False, SendFailure.WITHDRAWN, "the server is not in use here")
         if not obstacle and not self._shared.body_memory.may_grow(len(message.body)):
             obstacle = "no memory for the body"
         if obstacle or server is None:
@@ -85,9 +85,9 @@
         shared.servers.note_start(server)
         try:
             connection = await shared.pool.open(entry) if message.is_repeat else None
-            response = await send_direct(shared, entry, outgoing, connection)
+            response = await send_direct(shared, server, outgoing, connection)
         except SendError as error:
-            is_server_fault = error.failure != SendFailure.STALE
+            is_server_fault = error.failure not in (SendFailure.STALE, SendFailure.WITHDRAWN)
             if error.failure == SendFailure.NOT_CONNECTED:
                 is_server_fault = await self._paths.is_server_fault(server)
             is_sent = bool(sent_at) and error.failure != SendFailure.NOT_CONNECTED
--- a/papayalever/entry/carrying.py
+++ b/papayalever/entry/carrying.py
@@ -13,7 +13,7 @@
 from ..routing.carriers import Carriers
 from ..routing.replication_tree import InstanceEntry, ReplicationTree
 from ..routing.server_limits import MAX_TRANSIT_S
-from ..routing.servers import ServerEntry
+from ..routing.servers import Server
 from .clock import now
 from .connection import SendError, SendFailure
 from .messages import ServerResponse
@@ -59,7 +59,7 @@
     async def send(
         self,
         carrier: InstanceEntry,
-        server: ServerEntry,
+        server: Server,
         outgoing: OutgoingRequest,
         is_repeat: bool,
     ) -> ServerResponse:
@@ -110,7 +110,8 @@
             raise SendError(SendFailure.NOT_CONNECTED, reply.detail, is_server_fault=False)
         if reply.failure:
             failure = SendFailure(reply.failure)
-            if not reply.is_sent and not reply.is_server_fault:
+            is_carrier_fault = not reply.is_sent and not reply.is_server_fault
+            if is_carrier_fault and failure != SendFailure.WITHDRAWN:
                 self._note_refused(carrier, reply.detail)
             raise SendError(failure, reply.detail, is_server_fault=reply.is_server_fault)
         headers = [(bytes(name), bytes(value)) for name, value in reply.headers]
--- a/papayalever/entry/connection.py
+++ b/papayalever/entry/connection.py
@@ -18,11 +18,16 @@
 """Responses to other requests that are skipped before the connection counts as faulty."""
 
 
+OnHead = Callable[[int, list[tuple[bytes, bytes]]], None]
+
+
 class SendFailure(StrEnum):
     """Why a send yielded no response."""
 
     NOT_CONNECTED = auto()
     """Nothing was sent."""
+    WITHDRAWN = auto()
+    """Nothing was sent, since the server takes no more requests."""
     STALE = auto()
     """A reused idle connection broke right after the send: the peer had already dropped it. The
     request may have run nevertheless."""
@@ -68,6 +73,7 @@
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._waiter: asyncio.Future[ServerResponse] | None = None
+        self._on_head: OnHead | None = None
         self._matches: Callable[[ServerResponse], bool] | None = None
         self._is_head_request = False
         self._headers: list[tuple[bytes, bytes]] = []
@@ -152,6 +158,8 @@
         for name, value in self._headers:
             if name == b"keep-alive":
                 self.idle_limit_s = read_keep_alive(value)
+        if self._on_head and status >= 200:
+            self._on_head(status, self._headers)
         if self._is_head_request:
             self.is_usable = False
             self.on_message_complete()
@@ -200,15 +208,18 @@
         data: bytes,
         matches: Callable[[ServerResponse], bool] | None = None,
         is_head: bool = False,
+        on_head: OnHead | None = None,
     ) -> ServerResponse:
         """Send a request and wait for its response; raises `SendError`.
 
+        ``on_head`` gets the status and headers of each response as soon as they are there.
         Cancellation closes the connection.
         """
         if self._transport is None or self._transport.is_closing() or not self.is_usable:
             raise SendError(SendFailure.NOT_CONNECTED, "the connection was closed while idle")
         self._waiter = asyncio.get_running_loop().create_future()
         self._matches = matches
+        self._on_head = on_head
         self._is_head_request = is_head
         self.used += 1
         self._meter = FramingMeter()
--- a/papayalever/entry/exchange.py
+++ b/papayalever/entry/exchange.py
@@ -28,6 +28,7 @@
     ServerLoad,
     ServerResponse,
 )
+from .notices import MAX_LOGGED_VALUE_BYTES, note_head
 from .permit_broker import Permit, PermitBroker, PermitSpec
 from .sending import OutgoingRequest, may_have_run, send_direct
 from .shared import SharedState, digest_request
@@ -55,8 +56,8 @@
 PATH_LOST = "the path to the server was lost"
 SERVERS_NOT_TO_BLAME = frozenset((SendFailure.STALE, SHED_WITH_ROOM, NO_WAY, PATH_LOST))
 """Failures after which a request may be sent to the same server again."""
-MAX_LOGGED_VALUE_BYTES = 40
-"""Longest part of a malformed header that is logged."""
+NO_SERVER_RETRY_AFTER_S = 1.0
+"""Retry-After while no server of the service takes requests: one that starts is listed by then."""
 MIN_SEND_TIME_S = 0.02
 """Remaining time below which a request is not sent again."""
 
@@ -287,10 +288,12 @@
 
     def _note_limited_servers(self) -> None:
         """Let the caller come back when the first server has room within its limit."""
-        at = now()
+        at, servers = now(), self._shared.servers
+        if not any(servers.may_send(server) for server in servers.servers(self.service)):
+            self._retry_after_s = NO_SERVER_RETRY_AFTER_S
         waits_s = [
             server.limited_until - at
-            for server in self._shared.servers.servers(self.service)
+            for server in servers.servers(self.service)
             if server.limited_until > at
         ]
         if waits_s:
@@ -356,7 +359,7 @@
             end = classify_response(response.status, kind)
             return self._check_response(server, response, kind)
         except SendError as error:
-            if error.failure == SendFailure.STALE:
+            if error.failure in (SendFailure.STALE, SendFailure.WITHDRAWN):
                 return str(error.failure)
             fault = asyncio.ensure_future(self._find_fault(server, error))
             if error.failure == SendFailure.LOST:
@@ -386,7 +389,7 @@
         try:
             response = await self._send_some_way(server)
         except SendError as error:
-            if error.failure == SendFailure.NOT_CONNECTED:
+            if error.failure in (SendFailure.NOT_CONNECTED, SendFailure.WITHDRAWN):
                 self.trace.may_have_run = may_have_run_before
                 self._send_count = send_count_before
             raise
@@ -398,17 +401,19 @@
         """Send over an own connection, or while this instance is cut off by way of another one."""
         shared, outgoing, entry = self._shared, self._outgoing(), server.entry
         if not shared.paths.is_cut:
-            return await send_direct(shared, entry, outgoing)
+            return await send_direct(shared, server, outgoing)
         connection = shared.pool.take_idle(
             entry, not self._route.is_idempotent, self._used_connections, shared.paths.cut_since
         )
         if connection:
-            return await send_direct(shared, entry, outgoing, connection)
+            return await send_direct(shared, server, outgoing, connection)
         carrier = self._carry_client.choose(self._route.regions)
         if carrier is None:
             raise SendError(SendFailure.NOT_CONNECTED, NO_WAY, is_server_fault=False)
         self.trace.carriers.append(carrier.name)
-        return await self._carry_client.send(carrier, entry, outgoing, self._send_count > 0)
+        response = await self._carry_client.send(carrier, server, outgoing, self._send_count > 0)
+        note_head(shared, server, response.status, response.headers)
+        return response
 
     def _outgoing(self) -> OutgoingRequest:
         return OutgoingRequest(
--- a/papayalever/entry/messages.py
+++ b/papayalever/entry/messages.py
@@ -63,6 +63,16 @@
     """The address now belongs to another server, which did not run the request."""
 
 
+@dataclass(frozen=True, slots=True)
+class ServerNotice:
+    """What the head of a response says of the server's further use."""
+
+    is_leaving: bool = False
+    """Whether the server takes no more requests and ends soon."""
+    unreadable: bytes | None = None
+    """First value that could not be read."""
+
+
 @dataclass(eq=False, slots=True)
 class ServerResponse:
     """A complete response of a backend server."""
--- a/papayalever/entry/permit_broker.py
+++ b/papayalever/entry/permit_broker.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import itertools
+from collections import defaultdict
 from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass
 from enum import StrEnum, auto
@@ -30,6 +31,7 @@
 from ..routing.server_queue import PermitId, PermitRequest
 from ..routing.servers import Server, ServerTable
 from .clock import now
+from .notices import note_leaving
 
 REPLY_TIMEOUT_S = MAX_TRANSIT_S
 """Two round trips between the farthest regions, one of them with a retransmission; an owner decides
@@ -115,6 +117,9 @@
         self._tick_timer: asyncio.TimerHandle | None = None
         self._is_decision_scheduled = False
         self._tasks: set[asyncio.Task] = set()
+        self._scopes_by_server: defaultdict[str, set[asyncio.Timeout]] = defaultdict(set)
+        """Waits for permits, by server; they end when the server is withdrawn."""
+        servers.on_withdrawn = self._note_withdrawn
 
     def __len__(self) -> int:
         """Number of requests that wait for a permit from this instance."""
@@ -129,6 +134,8 @@
 
         When a long wait is expected, ``find_fallback`` may return a permit for another server.
         """
+        if not self._servers.may_send(server):
+            return PermitDecision(PermitState.REFUSED)
         owner = self._owners.find(server.entry, now())
         permit = Permit(server, owner, next(self._numbers))
         if owner is None:
@@ -138,10 +145,7 @@
             return permit
         is_held = False
         try:
-            if owner is None or owner.name == self._own.name:
-                decision = await self._request_local(permit, spec)
-            else:
-                decision = await self._request_remote(permit, spec)
+            decision = await self._request(permit, spec)
             if decision.state == PermitState.QUEUED:
                 if (
                     find_fallback
@@ -149,7 +153,7 @@
                     and (fallback := await find_fallback())
                 ):
                     return fallback
-                decision = await self._await_decision(permit, spec)
+                decision = await self._await_unless_withdrawn(permit, spec)
             is_held = decision.state == PermitState.GRANTED and self._servers.may_send(server)
         finally:
             if not is_held:
@@ -160,6 +164,32 @@
         self._servers.note_start(server)
         return permit
 
+    async def _request(self, permit: Permit, spec: PermitSpec) -> PermitDecision:
+        if self._is_local(permit):
+            return await self._request_local(permit, spec)
+        return await self._request_remote(permit, spec)
+
+    async def _await_unless_withdrawn(self, permit: Permit, spec: PermitSpec) -> PermitDecision:
+        """Wait for the decision, or until the server takes no more requests."""
+        scopes = self._scopes_by_server[permit.server.id]
+        try:
+            async with asyncio.timeout(None) as scope:
+                scopes.add(scope)
+                return await self._await_decision(permit, spec)
+        except TimeoutError:
+            return PermitDecision(PermitState.REFUSED)
+        finally:
+            scopes.discard(scope)
+            if not scopes:
+                self._scopes_by_server.pop(permit.server.id, None)
+
+    def _note_withdrawn(self, server: Server) -> None:
+        """Let requests that wait for a server go elsewhere."""
+        for scope in self._scopes_by_server.get(server.id, ()):
+            if not scope.expired():
+                scope.reschedule(now())
+        self._schedule_decisions()
+
     def release(self, permit: Permit, ran_s: float, running: int, end: SendOutcome) -> None:
         """Release a permit or leave the queue.
 
@@ -176,6 +206,7 @@
             running,
             str(end),
             *self._limit_fields(permit.server),
+            permit.server.is_leaving,
         )
         self._spawn(self._send_release(permit.owner, message))
 
@@ -276,6 +307,8 @@
         if reply is None:
             return self._decide_alone(permit)
         self._note_reported_limit(server, reply.limit_per_s, reply.limit_age_ms)
+        if reply.is_leaving:
+            note_leaving(self._servers, server, owner.name)
         return PermitDecision(PermitState(reply.state), reply.wait_ms / 1000)
 
     def _decide_alone(self, permit: Permit) -> PermitDecision:
@@ -324,11 +357,16 @@
             message.is_fallback,
             message.is_already_sent,
         )
-        decision = self._scheduler.request(server, request, at)
+        decision = PermitDecision(PermitState.REFUSED)
+        if self._servers.may_send(server) or request.is_already_sent:
+            decision = self._scheduler.request(server, request, at)
         if decision.state == PermitState.QUEUED and not request.is_already_sent:
             self._add_waiter(request.id)
         return PermitReply(
-            str(decision.state), int(decision.wait_s * 1000), *self._limit_fields(server)
+            str(decision.state),
+            int(decision.wait_s * 1000),
+            *self._limit_fields(server),
+            server.is_leaving,
         )
 
     async def handle_await(self, message: AwaitPermit) -> PermitReply:
@@ -351,6 +389,8 @@
         self._waiter_by_id.pop(permit_id, None)
         if server := self._scheduler.find_server(permit_id):
             self._note_reported_limit(server, message.limit_per_s, message.limit_age_ms)
+            if message.is_leaving:
+                note_leaving(self._servers, server, message.instance)
         end = SendOutcome(message.outcome)
         self._scheduler.release(permit_id, message.ran_ms / 1000, message.running, now(), end)
         self._schedule_decisions()
--- a/papayalever/entry/sending.py
+++ b/papayalever/entry/sending.py
@@ -5,11 +5,12 @@
 
 import logbook
 
-from ..routing.servers import ServerEntry
+from ..routing.servers import Server
 from .clock import now
 from .connection import ClientConnection, SendError, SendFailure
 from .forwarding import encode_request
 from .messages import CallerRequest, ResponseKind, ServerResponse
+from .notices import note_head
 from .shared import SharedState
 
 log = logbook.Logger("request")
@@ -33,14 +34,19 @@
 
 async def send_direct(
     shared: SharedState,
-    entry: ServerEntry,
+    server: Server,
     outgoing: OutgoingRequest,
     connection: ClientConnection | None = None,
 ) -> ServerResponse:
     """Send a request over the given, an idle or a new connection; raises `SendError`."""
+    entry = server.entry
     connection = connection or await shared.pool.acquire(
         entry, not outgoing.is_idempotent, outgoing.used_connections
     )
+    if not shared.servers.may_send(server):
+        # It was withdrawn while the request waited for the connection.
+        shared.pool.release(entry, connection, shared.max_idle(entry.service))
+        raise SendError(SendFailure.WITHDRAWN, "the server takes no more requests")
     outgoing.used_connections.add(connection)
     outgoing.on_sent()
     started = now()
@@ -51,7 +57,10 @@
 
     try:
         response = await connection.send(
-            _encode(shared, entry.id, outgoing), matches, outgoing.request.method == b"HEAD"
+            _encode(shared, entry.id, outgoing),
+            matches,
+            outgoing.request.method == b"HEAD",
+            lambda status, headers: note_head(shared, server, status, headers),
         )
     except SendError as error:
         is_lost = error.failure == SendFailure.LOST
--- a/papayalever/entry/shared.py
+++ b/papayalever/entry/shared.py
@@ -10,7 +10,7 @@
 from ..routing.servers import ServerTable
 from .crashes import CrashTracker
 from .framing import BodyMemory
-from .messages import RequestMeta, ResponseKind, ServerResponse
+from .messages import RequestMeta, ResponseKind, ServerNotice, ServerResponse
 from .metrics import EntryMetrics
 from .path_monitor import PathMonitor
 from .pool import ConnectionPool, max_idle_per_instance
@@ -27,6 +27,7 @@
 
     read_request: Callable[[list[tuple[bytes, bytes]]], RequestMeta]
     read_response: Callable[[ServerResponse], ResponseKind]
+    read_notice: Callable[[int, list[tuple[bytes, bytes]]], ServerNotice]
     forward_headers: Callable[[str, float], list[tuple[bytes, bytes]]]
     retry_after: Callable[[float], tuple[bytes, bytes]]
     reserved_headers: frozenset[bytes]
--- a/papayalever/platform/program.py
+++ b/papayalever/platform/program.py
@@ -31,6 +31,7 @@
     adapter = HeaderAdapter(
         read_request=wire.read_request,
         read_response=wire.read_response,
+        read_notice=wire.read_notice,
         forward_headers=wire.forward_headers,
         retry_after=wire.retry_after,
         reserved_headers=wire.RESERVED_HEADERS,
--- a/papayalever/platform/wire.py
+++ b/papayalever/platform/wire.py
@@ -3,7 +3,14 @@
 import re
 from urllib.parse import parse_qs
 
-from ..entry.messages import DirectoryQuery, RequestMeta, ResponseKind, ServerLoad, ServerResponse
+from ..entry.messages import (
+    DirectoryQuery,
+    RequestMeta,
+    ResponseKind,
+    ServerLoad,
+    ServerNotice,
+    ServerResponse,
+)
 
 REQUEST_ID = b"attempt-id"
 DEADLINE = b"deadline-ms"
@@ -15,6 +22,7 @@
 WARMUP_MS = b"warmup-ms"
 LIMIT = b"server-limit"
 """Requests per second that the server takes from all instances together."""
+LEAVING = b"server-leaving"
 DECIMAL = re.compile(rb"\d{1,18}(\.\d{1,18})?")
 AFFINITY_COOKIE = re.compile(rb"(?:^|;)\s*Affinity-Key=([^;]*)")
 
@@ -70,6 +78,17 @@
     return ResponseKind.SEALED if is_sealed else ResponseKind.UNSEALED
 
 
+def read_notice(status: int, headers: list[tuple[bytes, bytes]]) -> ServerNotice:
+    """Read from the head of a response whether the server goes on to take requests."""
+    if status == MISDIRECTED_STATUS:
+        # From another server at the same address.
+        return ServerNotice()
+    values = [value.strip() for name, value in headers if name == LEAVING]
+    if values in ([], [b"1"]):
+        return ServerNotice(is_leaving=bool(values))
+    return ServerNotice(unreadable=values[-1])
+
+
 def retry_after(seconds: float) -> tuple[bytes, bytes]:
     """Header that tells a caller how long to wait before a retry."""
     return (b"Retry-After", b"%.2f" % seconds)
--- a/papayalever/routing/server_limits.py
+++ b/papayalever/routing/server_limits.py
@@ -6,7 +6,7 @@
 from collections.abc import Container
 from dataclasses import dataclass, field
 
-from .servers import ServerEntry
+from .servers import RunKey, ServerEntry, run_key
 
 REORDER_S = 1.0
 """How long a response may be on its way: for this long after a limit was named, only lower limits
@@ -16,9 +16,6 @@
 FORGET_S = 60.0
 """How long the limit of a server that is no longer listed is kept, for when its entry returns."""
 
-RunKey = tuple[str, str, int | None]
-"""Id, address and start time of a server; a restart ends its limit."""
-
 
 @dataclass(frozen=True, slots=True)
 class LimitReport:
@@ -39,7 +36,7 @@
 
     def note(self, server: ServerEntry, report: LimitReport) -> bool:
         """Record a report, in any order; returns whether the limit changed."""
-        key = _run_key(server)
+        key = run_key(server)
         known = self._report_by_run.get(key)
         if known is None:
             if report.per_s is not None:
@@ -67,16 +64,16 @@
 
     def find(self, server: ServerEntry) -> float | None:
         """Requests per second that a server takes, None if it has no limit."""
-        report = self._report_by_run.get(_run_key(server))
+        report = self._report_by_run.get(run_key(server))
         return report.per_s if report else None
 
     def find_report(self, server: ServerEntry) -> LimitReport | None:
         """The report in force, None if the server has never named a limit."""
-        return self._report_by_run.get(_run_key(server))
+        return self._report_by_run.get(run_key(server))
 
     def note_unreadable(self, server: ServerEntry) -> bool:
         """Record a limit that is not a number; returns whether it is the server's first."""
-        key = _run_key(server)
+        key = run_key(server)
         is_first = key not in self._unreadable_runs
         self._unreadable_runs.add(key)
         return is_first
@@ -87,7 +84,3 @@
             if key[0] not in listed_ids and now > report.seen_at + FORGET_S:
                 del self._report_by_run[key]
         self._unreadable_runs = {key for key in self._unreadable_runs if key[0] in listed_ids}
-
-
-def _run_key(server: ServerEntry) -> RunKey:
-    return (server.id, server.address, server.started_ms)
--- a/papayalever/routing/servers.py
+++ b/papayalever/routing/servers.py
@@ -3,7 +3,7 @@
 Pure state: ``now`` is in seconds of a monotonic clock.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from enum import StrEnum, auto
 
@@ -17,6 +17,8 @@
 MAX_LIMITED_S = 1.0
 """A server whose limit left no room is asked again at least this often, since the limit may end."""
 FIRST_EJECT_S = 0.5
+MAX_LEAVING_RUNS = 4_096
+"""Runs of servers that said they leave and are remembered without an entry, the latest ones."""
 MAX_EJECT_S = 4.0
 """Crashed servers are down for a few seconds, so they are retried at least this often."""
 
@@ -47,6 +49,10 @@
     """Number of writes of the entry since the server started."""
 
 
+RunKey = tuple[str, str, int | None]
+"""Id, address and start time of a server; a restart ends what it said of itself."""
+
+
 @dataclass(eq=False, slots=True)
 class Server:
     """One backend server: its entry, own requests in flight and what its responses reported."""
@@ -62,6 +68,9 @@
     cold_until: float = float("-inf")
     congested_until: float = float("-inf")
     """Set when its owner or the server itself reports that it has no room."""
+    has_unreadable_notice: bool = False
+    is_leaving: bool = False
+    """Whether it said in an answer that it leaves, whatever its entry says."""
     limited_until: float = float("-inf")
     """Until when the limit that the server named leaves no room."""
     pace: float = 1.0
@@ -79,8 +88,9 @@
         )
 
     def is_available(self, now: float) -> bool:
-        """Whether it is ready and not ejected for failures."""
-        return self.entry.phase == Phase.READY and now >= self.ejected_until
+        """Whether it is ready, did not say that it leaves and is not ejected for failures."""
+        is_ready = self.entry.phase == Phase.READY and not self.is_leaving
+        return is_ready and now >= self.ejected_until
 
     def has_limit_room(self, now: float) -> bool:
         """Whether the limit that it named, if any, leaves room as far as known."""
@@ -100,7 +110,11 @@
     """Failure domains whose servers get no requests."""
     generation: int = 0
     """Increases with each change of the servers, to invalidate derived data."""
+    on_withdrawn: Callable[[Server], None] = lambda server: None
+    """Called when a server takes no more requests, so that those which wait for it go elsewhere."""
     _servers_by_service: dict[str, list[Server]] = field(default_factory=dict)
+    _leaving_runs: dict[RunKey, None] = field(default_factory=dict)
+    """Runs that said they leave: their entries may lapse and return while the store is away."""
 
     def servers(self, service: str) -> list[Server]:
         """Servers of a service, ordered by id."""
@@ -124,7 +138,7 @@
     def _put(self, entry: ServerEntry, now: float) -> None:
         server = self.server_by_id.get(entry.id)
         if server is None or is_restart(server.entry, entry):
-            server = Server(entry)
+            server = Server(entry, is_leaving=run_key(entry) in self._leaving_runs)
             self.server_by_id[entry.id] = server
         server.entry = entry
         if entry.cold_left_s > 0:
@@ -136,10 +150,11 @@
             self._regroup()
 
     def may_send(self, server: Server) -> bool:
-        """Whether a server is still listed, ready and not in an evacuated domain."""
+        """Whether a server is still listed, stays, and is not in an evacuated domain."""
         return (
             self.server_by_id.get(server.id) is server
             and server.entry.phase == Phase.READY
+            and not server.is_leaving
             and server.entry.failure_domain not in self.evacuated
         )
 
@@ -172,6 +187,26 @@
         if running + waiting > server.entry.slots:
             self.note_congested(server, now)
 
+    def note_leaving(self, server: Server) -> bool:
+        """Record that a server said it leaves; returns whether that is new.
+
+        It ends with this run of the server.
+        """
+        if server.is_leaving:
+            return False
+        server.is_leaving = True
+        self._leaving_runs[run_key(server.entry)] = None
+        while len(self._leaving_runs) > MAX_LEAVING_RUNS:
+            del self._leaving_runs[next(iter(self._leaving_runs))]
+        self.on_withdrawn(server)
+        return True
+
+    def note_unreadable(self, server: Server) -> bool:
+        """Record a malformed notice; returns whether it is the server's first."""
+        is_first = not server.has_unreadable_notice
+        server.has_unreadable_notice = True
+        return is_first
+
     def note_success(self, server: Server) -> None:
         """Reset the failures after a complete response."""
         server.failures = 0
@@ -209,6 +244,11 @@
         self.generation += 1
 
 
+def run_key(entry: ServerEntry) -> RunKey:
+    """Key of one run of a server."""
+    return (entry.id, entry.address, entry.started_ms)
+
+
 def is_restart(known: ServerEntry, entry: ServerEntry) -> bool:
     """Whether an entry is from a different run of the server than the known entry."""
     return (
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -208,10 +208,12 @@
     return head.encode() + body
 
 
-def refusal(seen: Seen, status: str = "503 Service Unavailable", load: str = "3,9,3") -> bytes:
+def refusal(
+    seen: Seen, status: str = "503 Service Unavailable", load: str = "3,9,3", extra: str = ""
+) -> bytes:
     """Bytes of a refusal that names the request, as the platform's servers send it."""
     head = f"HTTP/1.1 {status}\r\nAttempt-Id: {seen.id}\r\nNot-Executed: 1\r\n"
-    return f"{head}Server-Load: {load}\r\nContent-Length: 0\r\n\r\n".encode()
+    return f"{head}Server-Load: {load}\r\nContent-Length: 0\r\n{extra}\r\n".encode()
 
 
 @dataclass
@@ -233,6 +235,10 @@
     slots: int = 3
     limit: str = ""
     """Value of the header in which the server names a limit, empty for none."""
+    leaving: str = ""
+    """Value of the header in which the server says that it leaves, empty for none."""
+    rest: str = ""
+    """Seconds for which the server wants nothing from an instance that it turns away."""
     limit_changes: list[tuple[float, float | None]] = field(default_factory=list)
     """Limits that its answers named, with the time of the first answer that did."""
     _server: asyncio.Server | None = None
@@ -282,6 +288,9 @@
             if self.behave:
                 await self.behave(seen, writer)
                 return
+            if self.rest:
+                writer.write(refusal(seen, extra=self.name_notices()))
+                return
             work = asyncio.ensure_future(asyncio.sleep(self.run_s))
             left = asyncio.ensure_future(_wait_end(reader))
             await asyncio.wait({work, left}, return_when=asyncio.FIRST_COMPLETED)
@@ -290,10 +299,15 @@
                 work.cancel()
                 self.cut_short += 1
                 raise ConnectionError
-            writer.write(sealed(seen, extra=self.name_limit()))
+            writer.write(sealed(seen, extra=self.name_limit() + self.name_notices()))
         finally:
             self.running -= 1
 
+    def name_notices(self) -> str:
+        """Headers in which the server says that it leaves, or wants nothing for a while."""
+        headers = f"Server-Leaving: {self.leaving}\r\n" if self.leaving else ""
+        return headers + (f"Retry-After: {self.rest}\r\n" if self.rest else "")
+
     def name_limit(self) -> str:
         """Headers of an answer that name the server and its limit."""
         limit = float(self.limit) if self.limit.replace(".", "").isdigit() else None
--- /dev/null
+++ b/tests/test_server_notices.py
@@ -0,0 +1,186 @@
+"""Servers that say in their answers that they leave, or want nothing from an instance for a while.
+
+Rules DRAIN and BUDGET of the users; checked from what reached the servers.
+"""
+
+import asyncio
+import itertools
+import time
+import unittest
+from collections.abc import Iterable
+from random import Random
+
+import logbook
+
+from papayalever.entry.instance import EntryInstance
+
+from .support.platform import ENTRY_HEADER, SERVER_HEADER, Caller, FakeServer, Platform, Reply
+
+OBJECTS = 30
+
+
+class NoticeCase(unittest.IsolatedAsyncioTestCase):
+    """Six instances in three failure domains, and callers that use all of them."""
+
+    async def asyncSetUp(self) -> None:
+        self.enterContext(logbook.NullHandler().applicationbound())
+        self.platform = await self.enterAsyncContext(Platform())
+        self.rng, self.ids, self.replies = Random(32), itertools.count(1), []
+        self.instances: list[EntryInstance] = []
+        self.told_at: dict[tuple[str, str], float] = {}
+        """When an instance passed on the first answer that says so, by (server id, instance)."""
+
+    async def start(self, servers: int = 4, instances: int = 6) -> list[FakeServer]:
+        domains = ("noord-a", "noord-b", "midden-a")
+        self.servers = [
+            await self.platform.add_server(domains[number % 3], run_s=0.05)
+            for number in range(servers)
+        ]
+        self.instances = [
+            await self.platform.add_instance(domains[number % 3]) for number in range(instances)
+        ]
+        await self.platform.wait(
+            lambda: all(
+                item.is_ready and item.shared.instances == instances for item in self.instances
+            ),
+            "the instances know each other",
+        )
+        return self.servers
+
+    async def load(self, seconds: float, per_s: float = 80.0) -> list[Reply]:
+        """Requests at all instances; returns the replies, with the time they were sent."""
+        first, end = len(self.replies), time.monotonic() + seconds
+        async with asyncio.TaskGroup() as group:
+            while time.monotonic() < end:
+                group.create_task(self.send_one(self.rng.choice(self.instances)))
+                await asyncio.sleep(self.rng.expovariate(per_s))
+        return self.replies[first:]
+
+    async def send_one(self, instance: EntryInstance) -> None:
+        key, request_id = str(self.rng.randrange(OBJECTS)), f"n{next(self.ids)}"
+        is_unsafe = self.rng.random() < 0.3
+        caller = await Caller.connect(instance.settings.caller_listener)
+        name = instance.settings.instance
+        if is_unsafe:
+            caller.send(f"/signoff/{key}", request_id, "POST", key, b"lifted", entry_name=name)
+        else:
+            caller.send(f"/lookup/{key}", request_id, key=key, entry_name=name)
+        started = time.monotonic()
+        reply = await caller.read()
+        reply.id, reply.took_s = request_id, time.monotonic() - started
+        caller.close()
+        if "server-leaving" in reply.headers:
+            key = (reply.headers[SERVER_HEADER.lower()], name)
+            self.told_at.setdefault(key, time.monotonic())
+        self.replies.append(reply)
+
+    def assert_drained(self, server: FakeServer) -> None:
+        """Nothing that is sent after an instance heard it comes from that instance."""
+        late = [
+            seen.id
+            for seen in server.seen
+            if seen.at
+            > self.told_at.get((server.id, seen.headers[ENTRY_HEADER.lower()]), 1e12) + 0.3
+        ]
+        self.assertEqual([], late)
+
+    def arrived(self, server: FakeServer, since: float) -> int:
+        return sum(seen.at >= since for seen in server.seen)
+
+    def assert_truthful(self) -> None:
+        """What was refused as not run has run nowhere; only resting servers turned it away."""
+        ran = {
+            seen.id
+            for item in self.servers
+            for seen in item.seen
+            if not item.rest and seen.method == "POST"
+        }
+        refused = {reply.id for reply in self.replies if reply.status == 503}
+        self.assertEqual(set(), ran & refused)
+
+
+def served(replies: Iterable[Reply]) -> float:
+    counted = [reply.status == 200 for reply in replies]
+    return sum(counted) / len(counted)
+
+
+class TestServerThatSaysItLeaves(NoticeCase):
+    async def test_leaving_server_gets_nothing_though_the_store_is_away(self):
+        """The store cannot tell that it drains, so that only its answers do."""
+        leaving = (await self.start())[0]
+        await self.load(1.0)
+        self.platform.store.down_for = lambda host: True
+        leaving.leaving = "1"
+        replies = await self.load(3.0)
+        self.assertTrue(self.told_at)
+        self.assert_drained(leaving)
+        self.assertGreaterEqual(served(replies), 0.98)
+        self.assert_truthful()
+
+    async def test_one_answer_is_heard_by_all_instances_that_ask_the_owner(self):
+        leaving = (await self.start())[0]
+        await self.load(1.0)
+        leaving.leaving = "1"
+        self.platform.store.down_for = lambda host: True
+        seen_before = len(leaving.seen)
+        await self.load(3.0)
+        # At the most a few requests were on their way when the first answer came.
+        self.assertLessEqual(len(leaving.seen) - seen_before, 8)
+
+    async def test_leaving_ends_with_the_incarnation_and_not_with_the_entry(self):
+        leaving = (await self.start())[0]
+        leaving.leaving = "1"
+        await self.load(1.5)
+        self.platform.store.drop("servers", leaving.id)
+        await asyncio.sleep(0.5)
+        self.platform.store.put("servers", leaving.id, leaving.entry(sequence=2))
+        await asyncio.sleep(0.5)
+        since = time.monotonic()
+        await self.load(1.5)
+        self.assertEqual(0, self.arrived(leaving, since))
+        leaving.leaving = ""
+        self.platform.store.put("servers", leaving.id, leaving.entry(born=1_700_000_009_000))
+        await asyncio.sleep(0.5)
+        since = time.monotonic()
+        await self.load(2.0)
+        self.assertGreater(self.arrived(leaving, since), 0)
+
+    async def test_service_whose_servers_all_leave_refuses_at_once(self):
+        for server in await self.start():
+            server.leaving = "1"
+        await self.load(1.0)
+        replies = await self.load(1.0)
+        self.assertEqual({503}, {reply.status for reply in replies})
+        self.assertLess(max(reply.took_s for reply in replies), 0.5)
+        self.assertTrue(all(float(reply.headers["retry-after"]) > 0 for reply in replies))
+        self.assert_truthful()
+
+    async def test_refusal_and_broken_answer_say_it_too(self):
+        first, second, *_ = await self.start()
+
+        async def refuse(seen, writer):
+            head = f"HTTP/1.1 503 Busy\r\nAttempt-Id: {seen.id}\r\nNot-Executed: 1\r\n"
+            writer.write(f"{head}Server-Leaving: 1\r\nContent-Length: 0\r\n\r\n".encode())
+
+        async def break_off(seen, writer):
+            head = f"HTTP/1.1 200 OK\r\nAttempt-Id: {seen.id}\r\nResponse-Seal: s\r\n"
+            writer.write(f"{head}Server-Leaving: 1\r\nContent-Length: 10\r\n\r\nab".encode())
+            await writer.drain()
+            raise ConnectionError
+
+        first.behave, second.behave = refuse, break_off
+        await self.load(1.5)
+        since = time.monotonic()
+        await self.load(1.5)
+        self.assertEqual([0, 0], [self.arrived(item, since) for item in (first, second)])
+
+    async def test_other_values_change_nothing_and_leave_one_line(self):
+        server = (await self.start(servers=1, instances=1))[0]
+        handler = logbook.TestHandler()
+        with handler.applicationbound():
+            for value in ("0", "yes", "x" * 3000, "-1"):
+                server.leaving = value
+                reply = await self.platform.ask(self.instances[0], "/lookup/1", key="1")
+                self.assertEqual(200, reply.status)
+        lines = [item for item in handler.records if "unreadable" in (item.message or "")]
+        self.assertEqual(1, len(lines))
