Send a server nothing for as long as it asked this instance to

Cause: nothing read the header, and a refusal by a server with room was repeated there at once. Class: as before, what an answer says reached only the path that got it. The time is decoded in platform/ from the head of each 503 and kept by the server's table for this instance alone; others go on. Every path asks: the selection, the owner's queue and permits (given back unused), sends ahead, fallbacks, repeats, and the send itself once its connection is there, also for carried requests. When all servers rest, requests are refused at once with the shortest time left, spread by rank and request. 0 is no pause; other values leave one line for each server. An object whose server rests is served elsewhere: forwarding it to an instance that may still send would go against what the server asked for, and was not measured.

--- a/papayalever/entry/carried.py
+++ b/papayalever/entry/carried.py
@@ -47,7 +47,7 @@
         """Make one send; replies at once if nothing is sent."""
         server = self._shared.servers.server_by_id.get(message.server)
         obstacle = self._find_obstacle()
-        if not obstacle and (server is None or not self._shared.servers.may_send(server)):
+        if not obstacle and (server is None or not self._shared.servers.accepts(server, now())):
             return Carried(False, SendFailure.WITHDRAWN, "the server is not in use here")
         if not obstacle and not self._shared.body_memory.may_grow(len(message.body)):
             obstacle = "no memory for the body"
--- a/papayalever/entry/exchange.py
+++ b/papayalever/entry/exchange.py
@@ -8,6 +8,7 @@
 
 import logbook
 
+from ..hashing import HASH_RANGE, hash_text
 from ..routing.health import SendOutcome, classify_unanswered
 from ..routing.permits import PermitDecision
 from ..routing.pipelining import Turn, find_blocking, is_delay_tolerant
@@ -56,6 +57,10 @@
 PATH_LOST = "the path to the server was lost"
 SERVERS_NOT_TO_BLAME = frozenset((SendFailure.STALE, SHED_WITH_ROOM, NO_WAY, PATH_LOST))
 """Failures after which a request may be sent to the same server again."""
+RETURN_SPREAD_S = 0.2
+"""Time over which the callers of one rank come back: a run on a warm server."""
+MAX_SPREAD_RANK = 3
+"""Lower ranks come back together."""
 NO_SERVER_RETRY_AFTER_S = 1.0
 """Retry-After while no server of the service takes requests: one that starts is listed by then."""
 MIN_SEND_TIME_S = 0.02
@@ -247,7 +252,7 @@
             for _ in range(MAX_SELECTIONS):
                 first, fallbacks = self._candidates()
                 if first is None:
-                    self._note_limited_servers()
+                    self._note_waits()
                     return await self._ask_fallbacks(fallbacks)
                 permit = await self._ask_candidates(first, fallbacks)
                 if permit or self._is_usable(first):
@@ -283,21 +288,24 @@
             self._shared.servers.note_limited(server, decision.wait_s, now())
 
     def _is_usable(self, server: Server) -> bool:
-        """Whether a selected server did not leave meanwhile and has room within its limit."""
-        return self._shared.servers.may_send(server) and server.has_limit_room(now())
+        """Whether a selected server still takes requests and has room within its limit."""
+        return self._shared.servers.accepts(server, now()) and server.has_limit_room(now())
 
-    def _note_limited_servers(self) -> None:
-        """Let the caller come back when the first server has room within its limit."""
-        at, servers = now(), self._shared.servers
-        if not any(servers.may_send(server) for server in servers.servers(self.service)):
-            self._retry_after_s = NO_SERVER_RETRY_AFTER_S
-        waits_s = [
-            server.limited_until - at
-            for server in servers.servers(self.service)
-            if server.limited_until > at
+    def _note_waits(self) -> None:
+        """Let the caller come back when the first server takes requests again."""
+        at, shared = now(), self._shared
+        usable = [
+            server
+            for server in shared.servers.servers(self.service)
+            if shared.servers.may_send(server)
         ]
+        if not usable:
+            self._retry_after_s = NO_SERVER_RETRY_AFTER_S
+        ends = [max(server.limited_until, server.paused_until) for server in usable]
+        waits_s = [end - at for end in ends if end > at]
         if waits_s:
-            self._retry_after_s = max(MIN_RETRY_AFTER_S, min(waits_s))
+            spread = compute_spread(self._route.rank, self._meta.request_id or b"")
+            self._retry_after_s = max(MIN_RETRY_AFTER_S, min(waits_s) + spread)
 
     def _permit_spec(self, is_fallback: bool = False) -> PermitSpec:
         return PermitSpec(
@@ -455,7 +463,10 @@
             servers.note_failure(server, now())
             return "another server has the address"
         if kind == ResponseKind.NOT_RUN and response.status in NOT_RUN_STATUSES:
-            if is_shed_with_room(response.load, server.load(now()), server.entry.slots):
+            is_paused = now() < server.paused_until
+            if not is_paused and is_shed_with_room(
+                response.load, server.load(now()), server.entry.slots
+            ):
                 self._retry_after_s = SHED_RETRY_AFTER_S
                 return SHED_WITH_ROOM
             servers.note_full(server, now())
@@ -580,6 +591,16 @@
     return known_load <= slots
 
 
+def compute_spread(rank: int, request_id: bytes) -> float:
+    """Seconds that a caller waits beyond the end of a pause.
+
+    Load pattern: all callers that were refused meanwhile would come back at the same moment. The
+    urgent ranks come first, and those of a rank one after the other.
+    """
+    share = hash_text(request_id.decode("latin-1")) / HASH_RANGE
+    return RETURN_SPREAD_S * (min(rank, MAX_SPREAD_RANK) + share)
+
+
 def classify_response(status: int, kind: ResponseKind) -> SendOutcome:
     """What a complete response says about the health of its server."""
     if kind in (ResponseKind.NOT_RUN, ResponseKind.OTHER_SERVER):
--- a/papayalever/entry/messages.py
+++ b/papayalever/entry/messages.py
@@ -69,8 +69,10 @@
 
     is_leaving: bool = False
     """Whether the server takes no more requests and ends soon."""
+    pause_s: float | None = None
+    """Seconds for which it wants no request from this instance; others may go on."""
     unreadable: bytes | None = None
-    """First value that could not be read."""
+    """Value of a notice that could not be read."""
 
 
 @dataclass(eq=False, slots=True)
--- a/papayalever/entry/notices.py
+++ b/papayalever/entry/notices.py
@@ -3,6 +3,7 @@
 import logbook
 
 from ..routing.servers import Server, ServerTable
+from .clock import now
 from .shared import SharedState
 
 MAX_LOGGED_VALUE_BYTES = 40
@@ -19,6 +20,8 @@
     if notice.unreadable is not None and shared.servers.note_unreadable(server):
         value = repr(notice.unreadable[:MAX_LOGGED_VALUE_BYTES])
         log.warning("notice of a server is unreadable", server=server.id, value=value)
+    if notice.pause_s is not None and shared.servers.note_pause(server, notice.pause_s, now()):
+        log.info("server wants nothing for a while", server=server.id, pause_s=notice.pause_s)
     if notice.is_leaving:
         note_leaving(shared.servers, server, "its answer")
 
--- a/papayalever/entry/permit_broker.py
+++ b/papayalever/entry/permit_broker.py
@@ -134,7 +134,7 @@
 
         When a long wait is expected, ``find_fallback`` may return a permit for another server.
         """
-        if not self._servers.may_send(server):
+        if not self._servers.accepts(server, now()):
             return PermitDecision(PermitState.REFUSED)
         owner = self._owners.find(server.entry, now())
         permit = Permit(server, owner, next(self._numbers))
@@ -154,7 +154,7 @@
                 ):
                     return fallback
                 decision = await self._await_unless_withdrawn(permit, spec)
-            is_held = decision.state == PermitState.GRANTED and self._servers.may_send(server)
+            is_held = decision.state == PermitState.GRANTED and self._servers.accepts(server, now())
         finally:
             if not is_held:
                 self.release(permit, 0.0, -1, SendOutcome.UNKNOWN)
--- a/papayalever/entry/sending.py
+++ b/papayalever/entry/sending.py
@@ -43,7 +43,7 @@
     connection = connection or await shared.pool.acquire(
         entry, not outgoing.is_idempotent, outgoing.used_connections
     )
-    if not shared.servers.may_send(server):
+    if not shared.servers.accepts(server, now()):
         # It was withdrawn while the request waited for the connection.
         shared.pool.release(entry, connection, shared.max_idle(entry.service))
         raise SendError(SendFailure.WITHDRAWN, "the server takes no more requests")
--- a/papayalever/platform/wire.py
+++ b/papayalever/platform/wire.py
@@ -23,6 +23,7 @@
 LIMIT = b"server-limit"
 """Requests per second that the server takes from all instances together."""
 LEAVING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
 DECIMAL = re.compile(rb"\d{1,18}(\.\d{1,18})?")
 AFFINITY_COOKIE = re.compile(rb"(?:^|;)\s*Affinity-Key=([^;]*)")
 
@@ -31,6 +32,7 @@
 RESERVED_HEADERS = frozenset((DEADLINE, TARGET_INSTANCE))
 """Headers that the instance sets for each backend server and never copies from the caller."""
 MISDIRECTED_STATUS = 421
+BUSY_STATUS = 503
 
 
 def read_request(headers: list[tuple[bytes, bytes]]) -> RequestMeta:
@@ -83,10 +85,19 @@
     if status == MISDIRECTED_STATUS:
         # From another server at the same address.
         return ServerNotice()
-    values = [value.strip() for name, value in headers if name == LEAVING]
-    if values in ([], [b"1"]):
-        return ServerNotice(is_leaving=bool(values))
-    return ServerNotice(unreadable=values[-1])
+    leaving = [value.strip() for name, value in headers if name == LEAVING]
+    pauses = [value.strip() for name, value in headers if name == RETRY_AFTER]
+    if status != BUSY_STATUS:
+        pauses = []
+    is_pause_readable = len(pauses) == 1 and DECIMAL.fullmatch(pauses[0]) is not None
+    unreadable = None if leaving in ([], [b"1"]) else leaving[-1]
+    if pauses and not is_pause_readable:
+        unreadable = pauses[-1]
+    return ServerNotice(
+        is_leaving=leaving == [b"1"],
+        pause_s=float(pauses[0]) if is_pause_readable else None,
+        unreadable=unreadable,
+    )
 
 
 def retry_after(seconds: float) -> tuple[bytes, bytes]:
--- a/papayalever/routing/servers.py
+++ b/papayalever/routing/servers.py
@@ -71,6 +71,8 @@
     has_unreadable_notice: bool = False
     is_leaving: bool = False
     """Whether it said in an answer that it leaves, whatever its entry says."""
+    paused_until: float = float("-inf")
+    """Until when it wants nothing from this instance; other instances may send."""
     limited_until: float = float("-inf")
     """Until when the limit that the server named leaves no room."""
     pace: float = 1.0
@@ -88,9 +90,9 @@
         )
 
     def is_available(self, now: float) -> bool:
-        """Whether it is ready, did not say that it leaves and is not ejected for failures."""
+        """Whether it is ready and stays, and is neither ejected for failures nor paused."""
         is_ready = self.entry.phase == Phase.READY and not self.is_leaving
-        return is_ready and now >= self.ejected_until
+        return is_ready and now >= max(self.ejected_until, self.paused_until)
 
     def has_limit_room(self, now: float) -> bool:
         """Whether the limit that it named, if any, leaves room as far as known."""
@@ -158,6 +160,10 @@
             and server.entry.failure_domain not in self.evacuated
         )
 
+    def accepts(self, server: Server, now: float) -> bool:
+        """Whether this instance may send a server requests now."""
+        return self.may_send(server) and now >= server.paused_until
+
     def set_evacuated(self, domains: Iterable[str], cold_s: float, now: float) -> None:
         """Replace the evacuated domains; servers of domains no longer evacuated start cold."""
         evacuated = set(domains)
@@ -201,6 +207,14 @@
         self.on_withdrawn(server)
         return True
 
+    def note_pause(self, server: Server, pause_s: float, now: float) -> bool:
+        """Send a server nothing for a while; returns whether that is new."""
+        is_new = now >= server.paused_until and pause_s > 0
+        server.paused_until = max(server.paused_until, now + pause_s)
+        if is_new:
+            self.on_withdrawn(server)
+        return is_new
+
     def note_unreadable(self, server: Server) -> bool:
         """Record a malformed notice; returns whether it is the server's first."""
         is_first = not server.has_unreadable_notice
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -289,7 +289,7 @@
                 await self.behave(seen, writer)
                 return
             if self.rest:
-                writer.write(refusal(seen, extra=self.name_notices()))
+                writer.write(refusal(seen, load="1,0,3", extra=self.name_notices()))
                 return
             work = asyncio.ensure_future(asyncio.sleep(self.run_s))
             left = asyncio.ensure_future(_wait_end(reader))
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -14,7 +14,16 @@
 
 from papayalever.entry.instance import EntryInstance
 
-from .support.platform import ENTRY_HEADER, SERVER_HEADER, Caller, FakeServer, Platform, Reply
+from .support.platform import (
+    ENTRY_HEADER,
+    SERVER_HEADER,
+    Caller,
+    FakeServer,
+    Platform,
+    Reply,
+    refusal,
+    sealed,
+)
 
 OBJECTS = 30
 
@@ -169,10 +178,12 @@
             raise ConnectionError
 
         first.behave, second.behave = refuse, break_off
-        await self.load(1.5)
-        since = time.monotonic()
-        await self.load(1.5)
-        self.assertEqual([0, 0], [self.arrived(item, since) for item in (first, second)])
+        await self.load(3.0)
+        for server in (first, second):
+            told_at: dict[str, float] = {}
+            for seen in server.seen:
+                name = seen.headers[ENTRY_HEADER.lower()]
+                self.assertLess(seen.at, told_at.setdefault(name, seen.at) + 0.3)
 
     async def test_other_values_change_nothing_and_leave_one_line(self):
         server = (await self.start(servers=1, instances=1))[0]
@@ -184,3 +195,80 @@
                 self.assertEqual(200, reply.status)
         lines = [item for item in handler.records if "unreadable" in (item.message or "")]
         self.assertEqual(1, len(lines))
+
+
+class TestServerThatRests(NoticeCase):
+    async def test_resting_server_gets_nothing_until_the_time_is_over(self):
+        """Others have room, so that nobody waits for it."""
+        resting = (await self.start())[0]
+        await self.load(1.0)
+        resting.rest = "2.0"
+        since = time.monotonic()
+        replies = await self.load(4.5)
+        self.assert_rested(resting, 2.0, since)
+        self.assertGreaterEqual(served(replies), 0.97)
+        resting.rest = ""
+        await asyncio.sleep(2.0)
+        since = time.monotonic()
+        await self.load(1.5)
+        self.assertGreater(self.arrived(resting, since), 0)
+        self.assert_truthful()
+
+    async def test_service_whose_servers_all_rest_refuses_with_the_shortest_time(self):
+        for server in await self.start(instances=2):
+            server.rest = "3"
+        await self.load(1.5)
+        since = time.monotonic()
+        replies = await self.load(1.0, 40.0)
+        self.assertEqual({503}, {reply.status for reply in replies})
+        self.assertLess(max(reply.took_s for reply in replies), 0.5)
+        waits_s = [float(reply.headers["retry-after"]) for reply in replies]
+        self.assertGreater(min(waits_s), 0.15)
+        self.assertLess(max(waits_s), 3.0)
+        self.assertGreater(len(set(waits_s)), 3, "spread")
+        self.assertLessEqual(sum(self.arrived(item, since) for item in self.servers), 2)
+        self.assert_truthful()
+
+    async def test_one_instance_is_bound_and_the_others_go_on(self):
+        server = (await self.start(servers=1))[0]
+        bound = self.instances[0].settings.instance
+
+        async def behave(seen, writer):
+            if seen.headers[ENTRY_HEADER.lower()] == bound:
+                writer.write(refusal(seen, extra="Retry-After: 5\r\n"))
+            else:
+                writer.write(sealed(seen))
+
+        server.behave = behave
+        await self.load(2.0)
+        since = time.monotonic()
+        await self.load(1.5)
+        senders = {seen.headers[ENTRY_HEADER.lower()] for seen in server.seen if seen.at >= since}
+        self.assertEqual({item.settings.instance for item in self.instances[1:]}, senders)
+
+    async def test_other_values_change_nothing_and_zero_is_no_pause(self):
+        server = (await self.start(servers=1, instances=1))[0]
+        values = ("nan", "-1", "", "Fri, 31 Dec 2027 23:59:59 GMT", "9" * 3000, "1, 2", "4\r\nRetry-After: 5", "0")
+        for number, value in enumerate(values):
+            notice = f"Retry-After: {value}\r\n"
+
+            async def behave(seen, writer, notice=notice):
+                writer.write(refusal(seen, extra=notice))
+
+            server.behave = behave
+            await self.platform.ask(self.instances[0], f"/lookup/{number}", key="1")
+            server.behave = None
+            await asyncio.sleep(0.6)
+            reply = await self.platform.ask(self.instances[0], f"/lookup/{number}", key="1")
+            self.assertEqual(200, reply.status, value)
+
+    def assert_rested(self, server: FakeServer, rest_s: float, since: float) -> None:
+        """Two requests at most between half a second after a refusal and the end of the time."""
+        by_instance: dict[str, list[float]] = {}
+        for seen in server.seen:
+            if seen.at >= since:
+                by_instance.setdefault(seen.headers[ENTRY_HEADER.lower()], []).append(seen.at)
+        for name, times in by_instance.items():
+            for at in times:
+                late = [other for other in times if at + 0.5 < other < at + rest_s]
+                self.assertLessEqual(len(late), 2, name)
