--- a/tests/support/virtual.py
+++ b/tests/support/virtual.py
@@ -18,6 +18,7 @@
 
 from papayalever.cluster.exceptions import PeerTimeoutError, PeerUnreachableError
 from papayalever.cluster.messages import KindUpdate
+from papayalever.entry.connection import OnHead
 from papayalever.entry.instance import EntryInstance
 from papayalever.entry.messages import CallerRequest, Response, ServerResponse
 from papayalever.entry.state_updates import INSTANCE_KIND
@@ -132,7 +133,9 @@
     used: int = 0
     idle_s: float = 0.0
 
-    async def send(self, data: bytes, matches: object, is_head: bool) -> ServerResponse:
+    async def send(
+        self, data: bytes, matches: object, is_head: bool, on_head: OnHead
+    ) -> ServerResponse:
         loop = asyncio.get_running_loop()
         lines = data.split(b"\r\n\r\n")[0].split(b"\r\n")[1:]
         header_by_name = {
@@ -147,6 +150,7 @@
         await asyncio.sleep(delay_s)
         seal = [(b"attempt-id", id_), (b"response-seal", b"s." + id_)]
         response = ServerResponse(200, b"OK", seal + described, b"done", head_at=loop.time())
+        on_head(response.status, response.headers)
         self.used += 1
         return response
 
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -248,7 +248,16 @@
 
     async def test_other_values_change_nothing_and_zero_is_no_pause(self):
         server = (await self.start(servers=1, instances=1))[0]
-        values = ("nan", "-1", "", "Fri, 31 Dec 2027 23:59:59 GMT", "9" * 3000, "1, 2", "4\r\nRetry-After: 5", "0")
+        values = (
+            "nan",
+            "-1",
+            "",
+            "Fri, 31 Dec 2027 23:59:59 GMT",
+            "9" * 3000,
+            "1, 2",
+            "4\r\nRetry-After: 5",
+            "0",
+        )
         for number, value in enumerate(values):
             notice = f"Retry-After: {value}\r\n"
 
