Play both notices of servers in the soak, and explain them

Servers of the soak say that they leave or rest at random moments; what arrives is checked against both rules from the servers' side (tests/support/notices.py). papayalever explain shows both, a lost path to the servers and who sent a carried request.

--- a/papayalever/explain.py
+++ b/papayalever/explain.py
@@ -26,6 +26,8 @@
     "owner unreachable": "owners",
     "owner lost": "owners",
     "leaving": "own state",
+    "no server reached": "own links to servers",
+    "servers reached again": "own links to servers",
 }
 """Topic of each event that changes the state known to an instance. Some events have two texts: logs
 of earlier versions have the older one."""
@@ -41,6 +43,8 @@
         "server failing",
         "server recovered",
         "server limit changed",
+        "server says that it leaves",
+        "server wants nothing for a while",
         "idle connection lost",
         "rested connection lost",
     )
@@ -129,6 +133,8 @@
         yield f"  sent to {server} ({known}): {result}"
         for line in state.server_events.get(server, []):
             yield f"    {line['at'] - at:+.3f} s {format_record(line)}"
+    if carriers := record.get("carriers"):
+        yield f"  this instance reached no server; sent by way of {', '.join(carriers)}"
     if not record.get("view_is_current", True):
         yield "  the instance had no contact with the store or a relay at that time"
     for _, line in sorted(state.line_by_topic.items()):
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -16,7 +16,10 @@
 from papayalever.entry.instance import METRICS_PATH, METRICS_PORT
 
 from ..support.limits import LimitCheck
+from ..support.notices import NoticeCheck
 from ..support.platform import (
+    ENTRY_HEADER,
+    SERVER_HEADER,
     Behave,
     Caller,
     FakeServer,
@@ -24,6 +27,7 @@
     Seen,
     boot_text,
     configuration,
+    refusal,
     sealed,
 )
 from .checks import SLACK_S, Ledger, Sent, body_of
@@ -86,6 +90,7 @@
         self.net = f"127.{100 + seed % 100}.{os.getpid() % 250}"
         self.ledger = Ledger()
         self.limits = LimitCheck()
+        self.notices = NoticeCheck(DRAIN_S)
         self.store = PlatformStore(f"{self.net}.1:8142")
         self.store_proxy = FaultProxy(f"{self.net}.2:8142", self.store.address)
         self.server_by_id: dict[str, FakeServer] = {}
@@ -148,14 +153,26 @@
 
     def run_at(self, server: FakeServer) -> Behave:
         async def run_request(seen: Seen, writer: asyncio.StreamWriter) -> None:
-            at = self.now()
+            at, sender = self.now(), seen.headers.get(ENTRY_HEADER.lower(), "")
+            if not self.is_disturbed(sender):
+                self.notices.note_arrival(server.id, sender, at)
+            if server.rest:
+                self.notices.note_refusal(server.id, sender, float(server.rest), at)
+                writer.write(refusal(seen, load="1,0,3", extra=server.name_notices()))
+                return
             self.ledger.note_run(seen.id, at)
             self.check_allowed(seen, at)
             await asyncio.sleep(self.rng.uniform(0.005, 0.08))
-            writer.write(sealed(seen, body_of(seen.id), extra=server.name_limit()))
+            extra = server.name_limit() + server.name_notices()
+            writer.write(sealed(seen, body_of(seen.id), extra=extra))
 
         return run_request
 
+    def is_disturbed(self, name: str) -> bool:
+        """Whether a program was killed, paused or stopped lately."""
+        program = next((item for item in self.programs if item.name == name), None)
+        return program is None or self.now() - program.disturbed_at < CONTACT_S
+
     def check_allowed(self, seen: Seen, at: float) -> None:
         """A leaving server and an emptied domain get nothing from undisturbed instances."""
         server = self.server_by_id[seen.headers["target-instance"]]
@@ -216,6 +233,8 @@
         if reply.status == 0 and program.must_answer and self.ledger.runs[sent.id]:
             self.ledger.find(self.now(), f"{program.name} ends {sent.id}, which runs, unanswered")
         self.limits.note_reply(program.name, reply.headers, self.now())
+        server_id = reply.headers.get(SERVER_HEADER.lower(), "")
+        self.notices.note_reply(server_id, program.name, reply.headers, self.now())
         sent.status, sent.body = reply.status, reply.body
         sent.seal = reply.headers.get("response-seal", "")
         self.ledger.note_answer(sent, self.now())
@@ -235,6 +254,8 @@
             self.corrupt_server,
             self.limit_server,
             self.limit_server,
+            self.withdraw_server,
+            self.rest_server,
             self.fault_store,
             self.restore_store,
             self.change_configuration,
@@ -299,6 +320,7 @@
             process.kill()
             process.wait()
         self.limits.forget(program.name)
+        self.notices.forget([program.name])
         await asyncio.sleep(self.rng.uniform(0.1, 1.0))
         # Signals overlap: another one may have started it again.
         if program.process is process and not self.is_over:
@@ -314,9 +336,10 @@
         if server := self.pick_server():
             self.say(f"crash {server.id}")
             proxy = self.proxy_by_id[server.id]
-            server.limit = ""
+            server.limit = server.leaving = server.rest = ""
             await server.stop()
             proxy.reset()
+            self.notices.forget([server.id])
             await asyncio.sleep(self.rng.uniform(0.5, 3.0))
             await server.start()
             born = 1_700_000_000_000 + next(self._ids)
@@ -362,6 +385,28 @@
                 await asyncio.sleep(self.rng.uniform(3.0, 9.0))
             server.limit = ""
 
+    async def withdraw_server(self) -> None:
+        """The server says that it leaves, only in its answers, and starts again later."""
+        if server := self.pick_server():
+            self.say(f"{server.id} says that it leaves")
+            server.leaving = "1"
+            await asyncio.sleep(self.rng.uniform(3.0, 8.0))
+            server.leaving = ""
+            # The same address, but what it said before is over.
+            self.notices.forget([server.id])
+            if server.id not in self.left_at:
+                address = self.proxy_by_id[server.id].address
+                born = 1_700_000_000_000 + next(self._ids)
+                self.store.put("servers", server.id, server.entry(address=address, born=born))
+
+    async def rest_server(self) -> None:
+        """The server turns requests away and wants nothing for a while."""
+        if server := self.pick_server():
+            server.rest = self.rng.choice(["0", "0.4", "1", "2.5"])
+            self.say(f"{server.id} rests for {server.rest} s at a time")
+            await asyncio.sleep(self.rng.uniform(1.0, 5.0))
+            server.rest = ""
+
     async def fault_store(self) -> None:
         self.store_disturbed_at = self.now() + 6.0
         if self.rng.random() < 0.3:
@@ -456,7 +501,8 @@
         for program in self.programs:
             if any(process.poll() is None for process in program.processes[:-1]):
                 self.ledger.find(self.now(), f"{program.name} runs twice")
-        return self.ledger.findings + self.limits.find(self.server_by_id.values())
+        findings = self.ledger.findings + self.notices.findings
+        return findings + self.limits.find(self.server_by_id.values())
 
     async def check_versions(self) -> None:
         """No process ever goes back to an older configuration."""
