Give the time of a pause to the first callers, and keep it with the run

What callers saw: the requests whose sends began a pause at all servers were told to come back after 0.15 s instead of its time, and a pause ended early when the entry of its server lapsed and returned, as it may while the store is away. Cause: the time was only looked up when nothing could be selected any more, and it lived with the entry. Both tests failed before (0.15 for 3 s; a second request arrived).

--- a/papayalever/entry/exchange.py
+++ b/papayalever/entry/exchange.py
@@ -200,6 +200,8 @@
             self._exclude(permit.server, outcome)
             self._shared.metrics.count("failed_sends", outcome)
             if not self._may_retry():
+                if not self._has_available_server():
+                    self._note_waits()
                 return self._final_response(outcome)
 
     def _exclude(self, server: Server, outcome: str) -> None:
@@ -291,6 +293,10 @@
         """Whether a selected server still takes requests and has room within its limit."""
         return self._shared.servers.accepts(server, now()) and server.has_limit_room(now())
 
+    def _has_available_server(self) -> bool:
+        at, servers = now(), self._shared.servers.servers(self.service)
+        return any(server.is_available(at) for server in servers)
+
     def _note_waits(self) -> None:
         """Let the caller come back when the first server takes requests again."""
         at, shared = now(), self._shared
--- a/papayalever/routing/servers.py
+++ b/papayalever/routing/servers.py
@@ -119,6 +119,8 @@
     _servers_by_service: dict[str, list[Server]] = field(default_factory=dict)
     _leaving_runs: dict[RunKey, None] = field(default_factory=dict)
     """Runs that said they leave: their entries may lapse and return while the store is away."""
+    _paused_until_by_run: dict[RunKey, float] = field(default_factory=dict)
+    """The same for runs that want nothing for a while."""
 
     def servers(self, service: str) -> list[Server]:
         """Servers of a service, ordered by id."""
@@ -142,7 +144,9 @@
     def _put(self, entry: ServerEntry, now: float) -> None:
         server = self.server_by_id.get(entry.id)
         if server is None or is_restart(server.entry, entry):
-            server = Server(entry, is_leaving=run_key(entry) in self._leaving_runs)
+            run = run_key(entry)
+            server = Server(entry, is_leaving=run in self._leaving_runs)
+            server.paused_until = self._paused_until_by_run.get(run, float("-inf"))
             self.server_by_id[entry.id] = server
         server.entry = entry
         if entry.cold_left_s > 0:
@@ -213,6 +217,9 @@
         """Send a server nothing for a while; returns whether that is new."""
         is_new = now >= server.paused_until and pause_s > 0
         server.paused_until = max(server.paused_until, now + pause_s)
+        self._paused_until_by_run = {
+            run: until for run, until in self._paused_until_by_run.items() if until > now
+        } | {run_key(server.entry): server.paused_until}
         if is_new:
             self.on_withdrawn(server)
         return is_new
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -271,6 +271,26 @@
             reply = await self.platform.ask(self.instances[0], f"/lookup/{number}", key="1")
             self.assertEqual(200, reply.status, value)
 
+    async def test_first_caller_who_is_refused_gets_the_time_too(self):
+        for server in await self.start(servers=2, instances=1):
+            server.rest = "3"
+        reply = await self.platform.ask(self.instances[0], "/lookup/1", key="1")
+        self.assertEqual(503, reply.status)
+        self.assertGreater(float(reply.headers["retry-after"]), 2.5)
+
+    async def test_pause_outlasts_an_entry_that_lapses(self):
+        server = (await self.start(servers=1, instances=1))[0]
+        server.rest = "5"
+        await self.platform.ask(self.instances[0], "/lookup/1", key="1")
+        self.platform.store.drop("servers", server.id)
+        known = self.instances[0].shared.servers.server_by_id
+        await self.platform.wait(lambda: server.id not in known, "the entry lapsed")
+        self.platform.store.put("servers", server.id, server.entry(sequence=2))
+        await self.platform.wait(lambda: server.id in known, "the entry is back")
+        seen = len(server.seen)
+        await self.platform.ask(self.instances[0], "/lookup/1", key="1")
+        self.assertEqual(seen, len(server.seen))
+
     def assert_rested(self, server: FakeServer, rest_s: float, since: float) -> None:
         """Two requests at most between half a second after a refusal and the end of the time."""
         by_instance: dict[str, list[float]] = {}
