Test that the owner of a leaving server hears it once and tells the others

Taking out either message field (the release that tells the owner, the owner's reply) was not noticed by tests.test_server_notices; the new test fails without each.

--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -136,6 +136,28 @@
         # At the most a few requests were on their way when the first answer came.
         self.assertLessEqual(len(leaving.seen) - seen_before, 8)
 
+    async def test_owner_hears_it_from_one_instance_and_tells_another(self):
+        leaving, *_ = await self.start()
+        entry = self.instances[0].shared.servers.server_by_id[leaving.id].entry
+        owner_name = self.instances[0].permit_broker._owners.find(entry, time.monotonic()).name
+        owner = self.platform.instance_by_name[owner_name]
+        first, second = [
+            item for item in self.instances[:2] + self.instances[3:5] if item != owner
+        ][:2]
+        for key in map(str, range(200)):
+            await self.platform.ask(first, f"/lookup/{key}", key=key)
+            if leaving.seen:
+                break
+        leaving.leaving = "1"
+        reply = await self.platform.ask(first, f"/lookup/{key}", key=key)
+        self.assertEqual("1", reply.headers.get("server-leaving"))
+        known = owner.shared.servers.server_by_id[leaving.id]
+        await self.platform.wait(lambda: known.is_leaving, "the owner hears it", 1.0)
+        seen = len(leaving.seen)
+        reply = await self.platform.ask(second, f"/lookup/{key}", key=key)
+        self.assertEqual((200, seen), (reply.status, len(leaving.seen)))
+        self.assertTrue(second.shared.servers.server_by_id[leaving.id].is_leaving)
+
     async def test_leaving_ends_with_the_incarnation_and_not_with_the_entry(self):
         leaving = (await self.start())[0]
         leaving.leaving = "1"
