--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -115,7 +115,7 @@
 
 class TestServerThatSaysItLeaves(NoticeCase):
     async def test_leaving_server_gets_nothing_though_the_store_is_away(self):
-        """The store cannot tell that it drains, so that only its answers do."""
+        """The store is away, so that only the answers of the server show it."""
         leaving = (await self.start())[0]
         await self.load(1.0)
         self.platform.store.down_for = lambda host: True
