--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -17,12 +17,14 @@
 import tempfile
 import time
 import tomllib
+from collections import Counter
 from pathlib import Path
 from urllib.parse import parse_qs, unquote, urlsplit
 
 ROOT = Path(__file__).resolve().parents[2]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HEARTBEAT_S = 1.5
+HISTORY_S = 20.0
 REGION_BY_ZONE = {"cdmx-a": "cdmx", "gdl-a": "gdl", "mty-a": "mty"}
 
 
@@ -90,6 +92,9 @@
         self.revision = 10
         self.objects: dict[str, dict[str, dict]] = {}
         self.history: list[tuple[int, str, dict, bool, float]] = []
+        self.forgotten = 0
+        """The last revision whose change is no longer kept."""
+        self.writes: Counter[str] = Counter()
         self.changed = asyncio.Event()
         self.expires: dict[str, float] = {}
         self._server = None
@@ -113,6 +118,7 @@
 
     def write(self, kind: str, name: str, spec) -> dict:
         self.revision += 1
+        self.writes[kind] += 1
         known = self.objects.setdefault(kind, {}).get(name)
         item = {
             "metadata": {
@@ -140,7 +146,10 @@
             self._note(kind, item, True)
 
     def _note(self, kind: str, item: dict, deleted: bool) -> None:
-        self.history.append((self.revision, kind, item, deleted, time.monotonic()))
+        now = time.monotonic()
+        self.history.append((self.revision, kind, item, deleted, now))
+        while self.history[0][4] < now - HISTORY_S:
+            self.forgotten = self.history.pop(0)[0]
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -202,7 +211,7 @@
         return 200, self.write(kind, name, document.get("spec"))
 
     async def _watch(self, kind: str, since: int, wait_ms: int) -> tuple[int, dict]:
-        if since > self.revision:
+        if since > self.revision or since < self.forgotten:
             return 410, {}
         until = time.monotonic() + min(wait_ms, 30_000) / 1000
         while True:
