--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -704,17 +704,26 @@
     async def run() -> int:
         deployment = Deployment(folder, **fields)
         deployment.record.write("disruption:", "on" if TROUBLE else "off")
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             async with asyncio.timeout(112):
                 return await case(deployment)
-        except (Broken, TimeoutError, OSError) as error:
+        except (Exception, asyncio.CancelledError) as error:
+            # Also a fault of the script itself: 1 is only for a broken rule.
             deployment.record.write("the case could not run:", repr(error))
             print("the case could not run:", repr(error))
             return 2
         finally:
-            for task in deployment.tasks:
-                task.cancel()
+            for other in deployment.tasks:
+                other.cancel()
             deployment.end()
 
-    status = asyncio.run(run())
+    try:
+        status = asyncio.run(run())
+    except BaseException as error:
+        print("the case could not run:", repr(error))
+        status = 2
+    sys.stdout.flush()
     os._exit(status)
