--- a/review/common-2/stage.py
+++ b/review/common-2/stage.py
@@ -434,6 +434,8 @@
         self.status, self.headers, self.body = status, headers or {}, body
         self.is_cut = False
         """Whether the answer began and did not end."""
+        self.was_sent = False
+        """Whether a connection was made and the request sent."""
 
 
 class Client:
@@ -610,15 +612,17 @@
         """Send one request, over a new connection unless one is given, and read its answer."""
         attempt = new_id()
         self.record.note("sent", machine=machine.name, attempt=attempt, method=method, target=target)
-        started, reply = now(), Reply()
+        started, reply, was_sent = now(), Reply(), False
         is_own = client is None
         try:
             async with asyncio.timeout(timeout_s):
                 client = client or await Client.connect(machine.front)
                 client.send(method, target, attempt, **options)
+                was_sent = True
                 reply = await client.read()
         except (OSError, TimeoutError):
             pass
+        reply.was_sent = was_sent
         if is_own and client:
             client.close()
         self.record.note(
