review: a fault of a case itself counts as not run

Cause: an unexpected error in a case's own code ended it with the exit code of a broken rule. Change: every error there ends with 2.

--- a/review/common-2/stage.py
+++ b/review/common-2/stage.py
@@ -661,7 +661,8 @@
             stage.spawn(stage.expire_entries())
             async with asyncio.timeout(110):
                 findings = await work(stage, trouble)
-        except (CannotRunError, TimeoutError, OSError) as error:
+        except Exception as error:
+            # Also a fault of the case itself: it shows nothing about the system.
             stage.record.note("not run", error=repr(error))
             print(f"not run: {error!r}")
             return NOT_RUN
