review: the stand-ins measure a process's own memory

Cause: resident memory counts pages of files. Change: RssAnon in place of VmRSS, and the id of a request with its reply.

--- a/review/common-2/stage.py
+++ b/review/common-2/stage.py
@@ -422,9 +422,9 @@
         raise CannotRunError(f"{self.name} is not ready")
 
     def memory_kb(self) -> int:
-        """Resident memory of the process."""
+        """Memory of the process itself, without pages of files."""
         text = Path(f"/proc/{self.process.pid}/status").read_text()
-        return int(next(line for line in text.splitlines() if line.startswith("VmRSS")).split()[1])
+        return int(next(line for line in text.splitlines() if line.startswith("RssAnon")).split()[1])
 
 
 class Reply:
@@ -434,8 +434,7 @@
         self.status, self.headers, self.body = status, headers or {}, body
         self.is_cut = False
         """Whether the answer began and did not end."""
-        self.was_sent = False
-        """Whether a connection was made and the request sent."""
+        self.attempt = ""
 
 
 class Client:
@@ -612,17 +611,16 @@
         """Send one request, over a new connection unless one is given, and read its answer."""
         attempt = new_id()
         self.record.note("sent", machine=machine.name, attempt=attempt, method=method, target=target)
-        started, reply, was_sent = now(), Reply(), False
+        started, reply = now(), Reply()
         is_own = client is None
         try:
             async with asyncio.timeout(timeout_s):
                 client = client or await Client.connect(machine.front)
                 client.send(method, target, attempt, **options)
-                was_sent = True
                 reply = await client.read()
         except (OSError, TimeoutError):
             pass
-        reply.was_sent = was_sent
+        reply.attempt = attempt
         if is_own and client:
             client.close()
         self.record.note(
