--- a/review/common-2/stage.py
+++ b/review/common-2/stage.py
@@ -652,6 +652,9 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run() -> int:
+        # A script that is stopped ends its processes, too.
+        stop = asyncio.current_task().cancel
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop)
         stage = Stage(Path(folder))
         try:
             address = stage.new_address()
@@ -673,4 +676,8 @@
         print("broken" if findings else "held")
         return BROKEN if findings else HELD
 
-    sys.exit(asyncio.run(run()))
+    try:
+        code = asyncio.run(run())
+    except (KeyboardInterrupt, asyncio.CancelledError):
+        code = NOT_RUN
+    sys.exit(code)
