--- a/review/common-2/stage.py
+++ b/review/common-2/stage.py
@@ -24,6 +24,8 @@
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 """Exit codes of a case."""
 HEARTBEAT_S = 1.5
+TRAFFIC_AFTER_S = 10.0
+"""Traffic starts so long after the machines do (SYSTEM.md)."""
 HOST = "papaya.example"
 ZONES = {"noord-a": "noord", "noord-b": "noord"}
 STATUS_TEXTS = {
@@ -582,6 +584,7 @@
         self.machines = [
             Machine(self, f"edge-{number}", next(zones), self.new_ip()) for number in range(count)
         ]
+        started = now()
         seeds = [machine.control for machine in self.machines[:3]]
         for machine in self.machines:
             machine.write_settings(seeds)
@@ -593,7 +596,8 @@
             if now() > end:
                 raise CannotRunError("the machines have not registered")
             await asyncio.sleep(0.1)
-        await asyncio.sleep(2.0)
+        # As on the sites: the start of a machine is over for longer than contact_ms by then.
+        await asyncio.sleep(max(0.0, started + TRAFFIC_AFTER_S - now()))
         self.record.note("all machines ready")
 
     async def expire_entries(self) -> None:
