tests: crowds of callers that do not behave, as known red

These tests start an entry instance as a process of its own on loopback, with lowered limits, and send it one crowd each: pipelined, endless and odd heads, bodies that stop short, tiny chunks, endless framing, answers that nobody reads, idle connections, and some of all at once. Afterwards the process has to live, with its memory below that of the machine in its settings and its descriptors below their limit, and one ordinary request is answered. Single requests at the limits of the sites have to be served.

The process under test moves from the soak to tests/support/program.py, and an entry of the list may say on the line of its test what was seen.

--- a/tests/run.py
+++ b/tests/run.py
@@ -33,7 +33,9 @@
 def read_known_red() -> set[str]:
     lines = KNOWN_RED.read_text().splitlines() if KNOWN_RED.exists() else []
     return {
-        line.removeprefix(ENTRY_PREFIX).strip() for line in lines if line.startswith(ENTRY_PREFIX)
+        line.removeprefix(ENTRY_PREFIX).split()[0]
+        for line in lines
+        if line.startswith(ENTRY_PREFIX)
     }
 
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -5,11 +5,9 @@
 import itertools
 import os
 import signal
-import subprocess
 import sys
 import tempfile
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
 
@@ -30,6 +28,7 @@
     refusal,
     sealed,
 )
+from ..support.program import Program
 from .checks import SLACK_S, Ledger, Sent, body_of
 from .proxy import Fault, FaultProxy
 
@@ -52,36 +51,6 @@
 """Share of the requests that are served once all faults are over."""
 
 
-@dataclass(eq=False)
-class Program:
-    """One entry instance as a process of its own."""
-
-    name: str
-    ip: str
-    settings: Path
-    log: Path
-    process: subprocess.Popen | None = None
-    processes: list[subprocess.Popen] = field(default_factory=list)
-    """All that were started; the last one is `process`."""
-    disturbed_at: float = 0.0
-    must_answer: bool = True
-    """Whether it ends no connection without an answer, since it was not killed or paused."""
-
-    def start(self) -> None:
-        with open(self.log, "ab") as log:
-            self.process = subprocess.Popen(
-                [sys.executable, "-m", "papayalever.platform.program"],
-                env=os.environ | {"PAPAYALEVER_BOOT": str(self.settings)},
-                stdout=log,
-                stderr=log,
-            )
-        self.processes.append(self.process)
-
-    @property
-    def is_running(self) -> bool:
-        return self.process is not None and self.process.poll() is None
-
-
 class Soak:
     """One seeded run."""
 
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -467,14 +467,23 @@
     return {"version": f"r{version}", "base_version": "r0", "resources": resources}
 
 
-def boot_text(name: str, ip: str, domain: str, store: str, seeds: str = "") -> str:
+def boot_text(
+    name: str,
+    ip: str,
+    domain: str,
+    store: str,
+    seeds: str = "",
+    memory_mb: int = 222,
+    max_fds: int = 2870,
+) -> str:
     """The settings file of one instance."""
     zones = "\n".join(f"zones.{key}={value}" for key, value in REGIONS.items())
     return (
         f"node_name={name}\nip={ip}\nzone={domain}\nregion={REGIONS[domain]}\n{zones}\n"
         f"listen.front={ip}:8144\nlisten.ready={ip}:8140\nlisten.control={ip}:8146\n"
         f"listen.directory={ip}:8143\ninternal_ports=7660,7675\nseeds={seeds}\n"
-        f"limits.memory_mb=222\nlimits.cpu_share=0.6\nlimits.link_mbps=700\n"
+        f"limits.memory_mb={memory_mb}\nlimits.max_fds={max_fds}\n"
+        f"limits.cpu_share=0.6\nlimits.link_mbps=700\n"
         f"provider.address={store}\nunknown.field=1\n"
         "bounds=drain_ms=2500,config_ms=2500,grace_s=6,retry_budget_ratio=0.2,"
         "budget_window_s=10,retry_budget_extra=124\n"
