tests: a test that fails only in its subtests fails the run

What was seen: `test_pipelined_heads_of_odd_lines` failed in a subtest, and the run ended with "9 passed, 0 failed" and exit status 0.

Cause: the runner collects failures from addFailure and addError; unittest reports those of subtests by addSubTest only.

The runner now records the id of the test, which KNOWN-RED.txt names, once.

--- a/tests/run.py
+++ b/tests/run.py
@@ -29,6 +29,11 @@
         super().addError(test, err)
         self.failed_ids.append(test.id())
 
+    def addSubTest(self, test, subtest, err) -> None:  # noqa: N802
+        super().addSubTest(test, subtest, err)
+        if err is not None and test.id() not in self.failed_ids:
+            self.failed_ids.append(test.id())
+
 
 def read_known_red() -> set[str]:
     lines = KNOWN_RED.read_text().splitlines() if KNOWN_RED.exists() else []
