entry: count what callers make an instance hold before it is taken

What callers saw: a process that ran out of memory, with all its requests. Pipelined heads of 15.5 KB with short lines took 881 MB of 80, heads without end 245, trailers 1231, unread responses 417, bodies that stop short 89; bodies in tiny chunks left an ordinary caller without an answer for 20 s. A single upload above 27 MB was refused on a machine of 222 MB.

Cause: only bytes of bodies were counted. A header line was held as objects of many times its size, trailers were added to the headers, a body existed as bytearray, bytes, encoded request and write buffer at once, and responses that nobody read were encoded whole. Each limit held for one message or connection, not for all of them. A connection that was not read did not notice that its caller had left, so that its requests went on.

Why this works: one budget for the process counts heads, bodies, pending requests and responses before they are taken, and every end gives them back. A head is one block of bytes, a body is held once in its pieces, and both directions are written in slices no faster than the peer reads. Trailers are counted and dropped. Who holds much and pauses for a second is closed first; others get 503 with Retry-After, and the rest of their body is dropped as it arrives, so that the refusal is not lost by a reset. A body ends with its caller's deadline, however it drips. Paused connections are asked for the peer's end every 0.25 s. Freed memory is given back by a walk through the heap, and the limit shrinks if the process itself takes more than expected.

A stand-in that silences a connection to a server does so for the new way of writing, too.

--- a/papayalever/entry/carried.py
+++ b/papayalever/entry/carried.py
@@ -8,8 +8,10 @@
 from ..cluster.messages import AskCarrier, CancelCarry, Carried, CarrierOffer, Carry
 from ..routing.carriers import MAX_CARRIED
 from ..routing.servers import Server
+from .bodies import Body
 from .clock import now
 from .connection import SendError, SendFailure
+from .header_block import HEADER_OBJECT_BYTES, pack_headers
 from .messages import CallerRequest, ServerResponse
 from .path_monitor import PathMonitor
 from .sending import OutgoingRequest, send_direct
@@ -49,17 +51,17 @@
         obstacle = self._find_obstacle()
         if not obstacle and (server is None or not self._shared.servers.accepts(server, now())):
             return Carried(False, SendFailure.WITHDRAWN, "the server is not in use here")
-        if not obstacle and not self._shared.body_memory.may_grow(len(message.body)):
+        size = len(message.body) + HEADER_OBJECT_BYTES * len(message.headers)
+        if not obstacle and not self._shared.memory.take(size, size):
             obstacle = "no memory for the body"
         if obstacle or server is None:
             return Carried(is_sent=False, detail=obstacle)
         key = (message.instance, message.number)
         self._task_by_id[key] = asyncio.current_task()
-        self._shared.body_memory.used += len(message.body)
         try:
             return await self._carry(server, message)
         finally:
-            self._shared.body_memory.used -= len(message.body)
+            self._shared.memory.used -= size
             del self._task_by_id[key]
 
     def _find_obstacle(self) -> str:
@@ -102,9 +104,9 @@
     return CallerRequest(
         method=message.method,
         target=message.target,
-        headers=[(bytes(name), bytes(value)) for name, value in message.headers],
+        head=pack_headers((bytes(name), bytes(value)) for name, value in message.headers),
         host=message.host,
-        body=message.body,
+        body=Body(message.body),
         arrived_at=now(),
     )
 
--- a/papayalever/entry/carrying.py
+++ b/papayalever/entry/carrying.py
@@ -16,9 +16,13 @@
 from ..routing.servers import Server
 from .clock import now
 from .connection import SendError, SendFailure
+from .header_block import HEADER_OBJECT_BYTES, count_headers
+from .memory import MessageMemory
 from .messages import ServerResponse
 from .sending import OutgoingRequest
 
+CARRIED_COPIES = 4
+"""Copies of a body while it is sent to a carrier: joined, encoded, masked and in a buffer."""
 REPLY_MARGIN_S = 1.0
 """Added to the time that the caller waits: the request's own timeout ends the wait before."""
 
@@ -28,7 +32,10 @@
 class CarryClient:
     """Finds instances that reach the servers, and hands single sends to them."""
 
-    def __init__(self, tree: ReplicationTree, links: LinkPool, rng: Random) -> None:
+    def __init__(
+        self, tree: ReplicationTree, links: LinkPool, rng: Random, memory: MessageMemory
+    ) -> None:
+        self._memory = memory
         self._tree = tree
         self._links = links
         """Apart from the links for permits, which must not wait for bodies."""
@@ -64,6 +71,24 @@
         is_repeat: bool,
     ) -> ServerResponse:
         """Have a request sent by another instance; raises `SendError`."""
+        request = outgoing.request
+        size = CARRIED_COPIES * len(request.body)
+        size += HEADER_OBJECT_BYTES * count_headers(request.head)
+        if not self._memory.take(size, size):
+            detail = "no memory for the copies of the body"
+            raise SendError(SendFailure.NOT_CONNECTED, detail, is_server_fault=False)
+        try:
+            return await self._send(carrier, server, outgoing, is_repeat)
+        finally:
+            self._memory.used -= size
+
+    async def _send(
+        self,
+        carrier: InstanceEntry,
+        server: Server,
+        outgoing: OutgoingRequest,
+        is_repeat: bool,
+    ) -> ServerResponse:
         number = next(self._numbers)
         try:
             await self._links.open(carrier.peer_address, MAX_TRANSIT_S)
@@ -84,7 +109,7 @@
             request.target,
             request.headers,
             request.host,
-            request.body,
+            request.body.join(),
         )
         outgoing.on_sent()
         self._carriers.note_start(carrier.name)
--- a/papayalever/entry/connection.py
+++ b/papayalever/entry/connection.py
@@ -8,15 +8,19 @@
 import httptools
 
 from ..sockets import detect_silent_peer
+from .bodies import Body
 from .clock import now
-from .framing import BodyMemory, FramingMeter
+from .framing import FramingMeter
+from .memory import MessageMemory
 from .messages import ServerResponse
+from .outbox import Outbox
 
 MAX_RESPONSE_BYTES = 32 * 1024 * 1024
-"""Limit on a buffered response body, which `BodyMemory` lowers while other bodies are held."""
+"""Limit on a buffered response body, which `MessageMemory` lowers while other messages are held."""
 MAX_SKIPPED_RESPONSES = 4
 """Responses to other requests that are skipped before the connection counts as faulty."""
-
+MIN_FINAL_STATUS = 200
+"""Responses with a lower status are interim ones; they have no body, and others follow."""
 
 OnHead = Callable[[int, list[tuple[bytes, bytes]]], None]
 
@@ -65,8 +69,8 @@
     response are limited: framing, body, and the bodies of all connections with the same ``memory``.
     """
 
-    def __init__(self, memory: BodyMemory | None = None) -> None:
-        self._memory = memory or BodyMemory(MAX_RESPONSE_BYTES)
+    def __init__(self, memory: MessageMemory | None = None) -> None:
+        self._memory = memory or MessageMemory(MAX_RESPONSE_BYTES)
         self._held_bytes = 0
         self._meter = FramingMeter()
         self._skipped = 0
@@ -79,7 +83,8 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._reason = b""
         self._head_at = 0.0
-        self._body = bytearray()
+        self._body = Body()
+        self._outbox = Outbox()
         self._is_in_response = False
         self._is_body_open_ended = False
         self.is_usable = True
@@ -96,6 +101,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the socket options that detect dead peers early."""
         self._transport = transport
+        self._outbox.open(transport)
         sock = transport.get_extra_info("socket")
         detect_silent_peer(sock)
         if sock:
@@ -125,6 +131,15 @@
         """Fail the pending request."""
         self.is_usable = False
         self._fail(SendFailure.LOST, str(exc or "closed"))
+        self._outbox.clear()
+
+    def pause_writing(self) -> None:
+        """Keep the rest of a request while the server does not read."""
+        self._outbox.pause()
+
+    def resume_writing(self) -> None:
+        """Go on to write a request."""
+        self._outbox.resume()
 
     # Parser.
 
@@ -135,7 +150,7 @@
             self._mark_unusable()
         self._headers = []
         self._reason = b""
-        self._body = bytearray()
+        self._body = Body()
         self._is_in_response = True
         self._is_body_open_ended = False
 
@@ -152,13 +167,13 @@
         self._head_at = now()
         status = self._parser.get_status_code()
         names = {name for name, _ in self._headers}
-        has_body = status >= 200 and status not in (204, 304)
+        has_body = status >= MIN_FINAL_STATUS and status not in (204, 304)
         has_end = b"content-length" in names or b"transfer-encoding" in names
         self._is_body_open_ended = has_body and not has_end
         for name, value in self._headers:
             if name == b"keep-alive":
                 self.idle_limit_s = read_keep_alive(value)
-        if self._on_head and status >= 200:
+        if self._on_head and status >= MIN_FINAL_STATUS:
             self._on_head(status, self._headers)
         if self._is_head_request:
             self.is_usable = False
@@ -168,10 +183,10 @@
         """Collect a chunk of the body."""
         if self._waiter is None or self._waiter.done():
             return
-        self._body += body
+        self._body.append(body)
         self._meter.note_body(len(body))
         self._held_bytes += len(body)
-        self._memory.used += len(body)
+        self._memory.hold_response(len(body))
         if len(self._body) > MAX_RESPONSE_BYTES or not self._memory.may_grow(len(self._body)):
             self._fail(SendFailure.GARBLED, "the response body is too large")
 
@@ -181,16 +196,16 @@
             return
         self._is_in_response = False
         status = self._parser.get_status_code()
-        if status < 200:
+        if status < MIN_FINAL_STATUS:
             return
         if self._is_body_open_ended or not self._parser.should_keep_alive():
             self.is_usable = False
-        response = ServerResponse(
-            status, self._reason, self._headers, bytes(self._body), self._head_at
-        )
         waiter = self._waiter
         if waiter is None or waiter.done():
             return
+        response = ServerResponse(
+            status, self._reason, self._headers, self._body.join(), self._head_at
+        )
         if self._matches is None or self._matches(response):
             waiter.set_result(response)
             return
@@ -209,9 +224,11 @@
         matches: Callable[[ServerResponse], bool] | None = None,
         is_head: bool = False,
         on_head: OnHead | None = None,
+        body: Body | None = None,
     ) -> ServerResponse:
         """Send a request and wait for its response; raises `SendError`.
 
+        ``body`` follows ``data``, in its pieces and as fast as the server reads.
         ``on_head`` gets the status and headers of each response as soon as they are there.
         Cancellation closes the connection.
         """
@@ -224,17 +241,18 @@
         self.used += 1
         self._meter = FramingMeter()
         self._skipped = 0
-        self._transport.write(data)
+        self._outbox.put((data, *(body.pieces() if body else ())))
         is_complete = False
         try:
             response = await self._waiter
             is_complete = True
             # A response that precedes the end of the request leaves unsent bytes in the buffer.
-            if self._transport.get_write_buffer_size():
+            if not self._outbox.is_empty:
                 self.is_usable = False
             return response
         finally:
             self._waiter = None
+            self._outbox.clear()
             self._release_memory()
             if not is_complete or not self.is_usable:
                 self.close()
@@ -251,7 +269,7 @@
             self.close()
 
     def _release_memory(self) -> None:
-        self._memory.used -= self._held_bytes
+        self._memory.hold_response(-self._held_bytes)
         self._held_bytes = 0
 
     def _fail(self, failure: SendFailure, detail: str) -> None:
@@ -259,13 +277,13 @@
         if failure == SendFailure.GARBLED and self._transport:
             # The peer may go on to send until the connection is closed.
             self._transport.abort()
-            self._body = bytearray()
+            self._body.clear()
         if self._waiter and not self._waiter.done():
             self._waiter.set_exception(SendError(failure, detail))
 
 
 async def connect(
-    address: str, timeout_s: float, memory: BodyMemory | None = None
+    address: str, timeout_s: float, memory: MessageMemory | None = None
 ) -> ClientConnection:
     """Open a connection; raises `SendError` with `SendFailure.NOT_CONNECTED`.
 
--- a/papayalever/entry/exchange.py
+++ b/papayalever/entry/exchange.py
@@ -22,6 +22,7 @@
 from .connection import ClientConnection, SendError, SendFailure
 from .forwarding import end_to_end_headers
 from .messages import (
+    DEFAULT_DEADLINE_S,
     CallerRequest,
     RequestMeta,
     Response,
@@ -37,8 +38,6 @@
 
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 """Statuses from which a caller concludes that its request did not run."""
-DEFAULT_DEADLINE_S = 10.0
-"""For requests without a deadline."""
 MAX_CONNECT_FAILURES = 4
 """Failed connections after which a request is given up; nothing was sent on these."""
 MIN_RETRY_TIME_SHARE = 0.5
@@ -160,6 +159,8 @@
         ahead = (item.turn for item in self._request.ahead if item.turn)
         for turn in find_blocking(ahead, self._route.target_latency_s):
             turn.give_way()
+        # Would keep all earlier requests of a connection that pipelines without a pause.
+        self._request.ahead = ()
         try:
             async with asyncio.timeout_at(self._deadline) as self._scope:
                 return await self._try_servers()
@@ -375,6 +376,9 @@
         except SendError as error:
             if error.failure in (SendFailure.STALE, SendFailure.WITHDRAWN):
                 return str(error.failure)
+            if error.failure == SendFailure.LOST:
+                # Once the caller leaves, its body is gone.
+                self._request_digest()
             fault = asyncio.ensure_future(self._find_fault(server, error))
             if error.failure == SendFailure.LOST:
                 await asyncio.shield(fault)
--- a/papayalever/entry/forwarding.py
+++ b/papayalever/entry/forwarding.py
@@ -1,5 +1,6 @@
-"""Encodes requests for backend servers and filters hop-by-hop headers."""
+"""Encodes the heads of requests for backend servers and filters hop-by-hop headers."""
 
+from .header_block import Headers
 from .messages import CallerRequest
 
 HOP_BY_HOP_HEADERS = frozenset(
@@ -17,11 +18,11 @@
 )
 """Headers that are not forwarded; Content-Length is computed again."""
 
-Headers = list[tuple[bytes, bytes]]
 
-
-def encode_request(request: CallerRequest, replaced: frozenset[bytes], added: Headers) -> bytes:
-    """Encode a request for a backend server, without ``replaced`` and with ``added`` headers."""
+def encode_request_head(
+    request: CallerRequest, replaced: frozenset[bytes], added: Headers
+) -> bytes:
+    """Encode a request's head for a backend server, without ``replaced`` and with ``added``."""
     headers = [
         item for item in end_to_end_headers(request.headers) if item[0] not in replaced
     ] + added
@@ -29,7 +30,7 @@
         headers.append((b"Content-Length", b"%d" % len(request.body)))
     lines = [b"%s %s HTTP/1.1" % (request.method, request.target)]
     lines += [name + b": " + value for name, value in headers]
-    return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
+    return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
 def end_to_end_headers(headers: Headers) -> Headers:
--- a/papayalever/entry/instance.py
+++ b/papayalever/entry/instance.py
@@ -4,7 +4,6 @@
 import signal
 import time
 from collections import Counter
-from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import asdict, replace
 from random import Random
@@ -30,17 +29,28 @@
 from ..routing.routes import CallerLimits, RouteTable, WeightedRoundRobin
 from ..routing.server_limits import ServerLimits
 from ..routing.servers import ServerTable
-from .caller import CallerConnection, Handler
+from .caller import CallerConnection
+from .callers import CallerConnections
 from .carried import CarryServer
 from .carrying import CarryClient
 from .clock import now
 from .crashes import CRASH_KIND, CrashTracker
 from .exchange import Exchange, refuse
 from .follower import MAX_AGE_S, Follower
-from .framing import BodyMemory
+from .header_block import Headers
 from .hold_policies import build_hold_policies
 from .housekeeping import Housekeeping
-from .messages import CallerRequest, RequestMeta, Response
+from .listeners import Handler, ListenerRules
+from .memory import (
+    RESPONSE_SHARE,
+    HeapTrimmer,
+    MessageMemory,
+    adapt_limit,
+    compute_limit,
+    read_own_bytes,
+    trim_heap,
+)
+from .messages import DEFAULT_DEADLINE_S, CallerRequest, RequestMeta, Response
 from .metrics import EntryMetrics
 from .own_objects import InvalidOwnObjectError, read_instance
 from .path_monitor import PathMonitor
@@ -54,6 +64,7 @@
 from .store_position import era_of
 from .store_protocol import InstanceStore
 from .supervision import supervise
+from .turns import ReadTurns
 from .watcher import WATCH_HISTORY_SHARE, StoreAccessError
 
 BACKLOG = 512
@@ -62,14 +73,15 @@
 """Interval between removals of expired idle connections and of held objects."""
 DIRECTORY_TTL_S = 2.0
 """How long callers may cache a directory response."""
+CALLERS, DIRECTORY, READY, METRICS = "callers", "directory", "ready", "metrics"
+"""Names of the listeners for HTTP."""
+MAX_LOGGED_BYTES = 256
+"""Most that is logged of a target or an id, which callers choose."""
 CLOSE_TIMEOUT_S = 0.2
 """Limit on the closing handshakes with other instances at shutdown."""
 METRICS_PORT = 9464
 METRICS_PATH = "/metrics"
 """Port and path of the metrics address in the deployment file."""
-BODY_MEMORY_SHARE = 0.25
-"""Share of memory for the bodies of requests and responses; the process itself needs 40 MB of
-152 MB, and a body may be held twice for a moment."""
 REGISTER_RETRY_S = 1.0
 """Interval between attempts to register; store calls are rate-limited and billed, and no request
 depends on the entry."""
@@ -103,9 +115,9 @@
         self._store = store
         rng = Random(settings.instance)
         servers, limits = ServerTable(), ServerLimits()
-        body_memory = BodyMemory(int(settings.memory_mb * BODY_MEMORY_SHARE * 1024 * 1024))
+        memory = MessageMemory(compute_limit(settings.memory_mb), RESPONSE_SHARE)
         self.metrics = EntryMetrics(self._read_gauges)
-        pool = ConnectionPool(body_memory)
+        pool = ConnectionPool(memory)
         paths = PathMonitor(servers, pool, lambda service: self.shared.max_idle(service), rng)
         pool.on_connected = paths.note_connected
         self.shared = SharedState(
@@ -119,13 +131,14 @@
             paths=paths,
             crashes=CrashTracker(store, settings.instance),
             metrics=self.metrics,
-            body_memory=body_memory,
+            memory=memory,
         )
         domains = Counter(settings.region_by_domain.values())
         self._placement = Placement(servers, settings.region, domains)
-        self._callers: set[CallerConnection] = set()
-        self._connections: set[CallerConnection] = set()
-        """All connections: those of callers and those of the other HTTP listeners."""
+        self._connections = CallerConnections((CALLERS, DIRECTORY, READY, METRICS))
+        memory.make_room = self._connections.make_room
+        self._turns = ReadTurns()
+        self._trimmer = HeapTrimmer()
         self._listeners: list[asyncio.Server] = []
         self._exchanges: set[Exchange] = set()
         self._stop = asyncio.Event()
@@ -136,7 +149,7 @@
         self._tree = ReplicationTree(_own_entry(settings, int(time.time() * 1000)))
         self._links = LinkPool()
         self._carry_links = LinkPool()
-        self.carry_client = CarryClient(self._tree, self._carry_links, rng)
+        self.carry_client = CarryClient(self._tree, self._carry_links, rng, memory)
         self.carry_server = CarryServer(self.shared, paths, lambda: self.is_leaving)
         owners = Owners()
         self.permit_broker = PermitBroker(
@@ -228,16 +241,11 @@
         tasks = [loop.create_task(supervise(name, work)) for name, work in work_by_name.items()]
         settings = self.settings
         await self._peers.start()
-        caller_server = await self._listen(
-            settings.caller_listener, self._handle_request, self._caller_limits, True
-        )
-        await self._listen(settings.ready_listener, self._handle_ready, lambda: ADMIN_LIMITS, False)
-        metrics = f"{settings.ip}:{METRICS_PORT}"
-        await self._listen(metrics, self._handle_metrics, lambda: ADMIN_LIMITS, False)
+        caller_server = await self._listen(CALLERS, settings.caller_listener, self._handle_request)
+        await self._listen(READY, settings.ready_listener, self._handle_ready)
+        await self._listen(METRICS, f"{settings.ip}:{METRICS_PORT}", self._handle_metrics)
         if settings.directory_listener:
-            await self._listen(
-                settings.directory_listener, self._handle_directory, lambda: ADMIN_LIMITS, False
-            )
+            await self._listen(DIRECTORY, settings.directory_listener, self._handle_directory)
         self._is_listening = True
         log.info("started", instance=settings.instance, failure_domain=settings.failure_domain)
         try:
@@ -255,8 +263,7 @@
         """Close every listener and connection at once, as if the process ended."""
         for listener in self._listeners:
             listener.close()
-        for connection in list(self._connections):
-            connection.abort()
+        self._connections.abort()
         await self._peers.close()
         await self._links.close()
         await self._carry_links.close()
@@ -264,35 +271,43 @@
 
     # Listeners.
 
-    async def _listen(
-        self,
-        address: str,
-        handle: Handler,
-        limits: Callable[[], CallerLimits],
-        is_for_callers: bool,
-    ) -> asyncio.Server:
+    async def _listen(self, name: str, address: str, handle: Handler) -> asyncio.Server:
+        rules = ListenerRules(
+            name=name,
+            handle=handle,
+            read_limits=self._caller_limits if name == CALLERS else lambda: ADMIN_LIMITS,
+            memory=self.shared.memory,
+            turns=self._turns,
+            on_open=self._admit,
+            on_close=self._connections.discard,
+            on_refused=self._note_refused,
+            retry_after=self.shared.adapter.retry_after,
+        )
+        if name == CALLERS:
+            rules.read_deadline_s = self._read_deadline
         host, port = address.rsplit(":", 1)
-
-        def build() -> CallerConnection:
-            on_open = self._note_caller if is_for_callers else self._connections.add
-            return CallerConnection(
-                handle, limits, on_open, self._note_closed, self.shared.body_memory
-            )
-
         loop = asyncio.get_running_loop()
-        server = await loop.create_server(build, host, int(port), backlog=BACKLOG)
+        server = await loop.create_server(
+            lambda: CallerConnection(rules), host, int(port), backlog=BACKLOG
+        )
         self._listeners.append(server)
         return server
 
-    def _note_closed(self, connection: CallerConnection) -> None:
-        self._callers.discard(connection)
-        self._connections.discard(connection)
+    def _admit(self, connection: CallerConnection) -> bool:
+        self._connections.admit(connection)
+        connection.is_draining = self.is_leaving and connection.listener == CALLERS
+        return True
 
-    def _note_caller(self, connection: CallerConnection) -> None:
-        self._callers.add(connection)
-        self._connections.add(connection)
-        if self.is_leaving:
-            connection.is_draining = True
+    def _note_refused(self, reason: str) -> None:
+        self.metrics.count("input_refused", reason)
+
+    def _read_deadline(self, target: bytes, headers: Headers) -> float:
+        """Seconds after which an incomplete request is of no use; like those of an exchange."""
+        deadline_s = self.shared.adapter.read_request(headers).deadline_s or DEFAULT_DEADLINE_S
+        host = next(value for name, value in headers if name == b"host").decode("latin-1")
+        path = target.partition(b"?")[0].decode("latin-1")
+        route = self.shared.routes.match(host, path)
+        return min(deadline_s, route.timeout_s) if route else min(deadline_s, DEFAULT_DEADLINE_S)
 
     def _watch_timeouts(self) -> dict[str, float]:
         """Timeout of a watch on the store, by kind.
@@ -333,10 +348,11 @@
             "reads_store": float(follower.is_reading),
             "view_is_current": float(follower.is_current),
             "view_age_seconds": min(follower.view_origin.age_s, MAX_REPORTED_AGE_S),
-            "callers_connected": float(len(self._callers)),
+            "callers_connected": float(self._connections.count_open(CALLERS)),
             "requests_waiting": float(len(self.permit_broker)),
             "requests_sent": float(sum(item.in_flight for item in servers.server_by_id.values())),
-            "body_bytes": float(self.shared.body_memory.used),
+            "message_bytes": float(self.shared.memory.used),
+            "message_bytes_most": float(self.shared.memory.limit),
             "reaches_servers": float(not self.shared.paths.is_cut),
             "sends_carried": float(len(self.carry_server)),
             "server_connections_opened": float(self.shared.pool.opened),
@@ -414,8 +430,8 @@
             fields = fields | {"origin": view.name}
         log.info(
             "request",
-            id=(meta.request_id or b"").decode("latin-1"),
-            target=request.target.decode("latin-1"),
+            id=(meta.request_id or b"")[:MAX_LOGGED_BYTES].decode("latin-1"),
+            target=request.target[:MAX_LOGGED_BYTES].decode("latin-1"),
             config=self.shared.routes.version,
             status=response.status,
             reason=response.reason,
@@ -514,6 +530,15 @@
             listed_ids = set(self.shared.servers.server_by_id)
             self.shared.pool.sweep(listed_ids)
             self.shared.limits.forget_unlisted(listed_ids, now())
+            self._adapt_memory()
+
+    def _adapt_memory(self) -> None:
+        """Fit the limit on messages to the process, and give back memory that is free again."""
+        memory = self.shared.memory
+        if self._trimmer.must_trim(memory.used):
+            trim_heap()
+        if own_bytes := read_own_bytes():
+            memory.limit = adapt_limit(self.settings.memory_mb, own_bytes, memory.used)
 
     # Shutdown.
 
@@ -523,8 +548,8 @@
         for exchange in self._exchanges:
             exchange.note_stop(plan)
         self.is_leaving = self.follower.is_leaving = True
-        log.info("leaving", open_connections=len(self._callers))
-        for connection in list(self._callers):
+        log.info("leaving", open_connections=self._connections.count_open(CALLERS))
+        for connection in self._connections.list_open(CALLERS):
             connection.drain()
         try:
             await self._store.delete(INSTANCE_KIND, self.settings.instance)
@@ -532,11 +557,15 @@
             log.warning("entry not removed from the store", error=str(error))
         await asyncio.sleep(max(0.0, plan.accept_until - now()))
         caller_server.close()
-        while (self._callers or len(self.carry_server)) and now() < plan.close_by:
-            for connection in list(self._callers):
+        while self._is_finishing() and now() < plan.close_by:
+            for connection in self._connections.list_open(CALLERS):
                 connection.drain()
             await asyncio.sleep(0.02)
 
+    def _is_finishing(self) -> bool:
+        """Whether requests are still being answered, or carried for others."""
+        return self._connections.count_open(CALLERS) > 0 or len(self.carry_server) > 0
+
 
 def _own_entry(settings: EntrySettings, started_ms: int) -> InstanceEntry:
     return InstanceEntry(
--- a/papayalever/entry/messages.py
+++ b/papayalever/entry/messages.py
@@ -4,6 +4,11 @@
 from enum import StrEnum, auto
 
 from ..routing.pipelining import Turn
+from .bodies import Body
+from .header_block import Headers, unpack_headers
+
+DEFAULT_DEADLINE_S = 10.0
+"""For requests without a deadline."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,10 +28,10 @@
 
     method: bytes
     target: bytes
-    headers: list[tuple[bytes, bytes]]
-    """Lower-case names."""
+    head: bytes
+    """Its headers as one block, see `header_block`; the names are in lower case."""
     host: str
-    body: bytes
+    body: Body
     arrived_at: float
     """When the first byte arrived, in seconds of the monotonic clock."""
     keep_alive: bool = True
@@ -35,6 +40,11 @@
     turn: Turn | None = None
     """Set while the request is handled by a route."""
 
+    @property
+    def headers(self) -> Headers:
+        """The headers with lower-case names, made anew by each use."""
+        return unpack_headers(self.head)
+
     @property
     def path(self) -> str:
         """The target without its query string."""
--- a/papayalever/entry/pool.py
+++ b/papayalever/entry/pool.py
@@ -8,7 +8,7 @@
 from ..routing.servers import ServerEntry
 from ..sockets import SILENT_S
 from .connection import ClientConnection, connect
-from .framing import BodyMemory
+from .memory import MessageMemory
 
 CONNECT_TIMEOUT_S = 0.45
 """Three round trips between regions; TCP would retransmit a lost SYN only after 1 s."""
@@ -26,8 +26,8 @@
 class ConnectionPool:
     """Idle connections by server id, reused in LIFO order."""
 
-    def __init__(self, body_memory: BodyMemory) -> None:
-        self._body_memory = body_memory
+    def __init__(self, memory: MessageMemory) -> None:
+        self._memory = memory
         self.on_connected: Callable[[], None] = lambda: None
         """Called after each new connection."""
         self._idle_by_id: dict[str, deque[ClientConnection]] = {}
@@ -84,7 +84,7 @@
     async def open(self, server: ServerEntry) -> ClientConnection:
         """Open a new connection; raises `SendError`."""
         self.opened += 1
-        connection = await connect(server.address, CONNECT_TIMEOUT_S, self._body_memory)
+        connection = await connect(server.address, CONNECT_TIMEOUT_S, self._memory)
         self.on_connected()
         return connection
 
--- a/papayalever/entry/sending.py
+++ b/papayalever/entry/sending.py
@@ -8,7 +8,7 @@
 from ..routing.servers import Server
 from .clock import now
 from .connection import ClientConnection, SendError, SendFailure
-from .forwarding import encode_request
+from .forwarding import encode_request_head
 from .messages import CallerRequest, ResponseKind, ServerResponse
 from .notices import note_head
 from .shared import SharedState
@@ -61,6 +61,7 @@
             matches,
             outgoing.request.method == b"HEAD",
             lambda status, headers: note_head(shared, server, status, headers),
+            outgoing.request.body,
         )
     except SendError as error:
         is_lost = error.failure == SendFailure.LOST
@@ -81,7 +82,7 @@
 def _encode(shared: SharedState, server_id: str, outgoing: OutgoingRequest) -> bytes:
     adapter = shared.adapter
     added = adapter.forward_headers(server_id, outgoing.deadline - now())
-    return encode_request(outgoing.request, adapter.reserved_headers, added)
+    return encode_request_head(outgoing.request, adapter.reserved_headers, added)
 
 
 def _is_own_response(
--- a/papayalever/entry/shared.py
+++ b/papayalever/entry/shared.py
@@ -8,8 +8,9 @@
 from ..routing.routes import RouteTable, WeightedRoundRobin
 from ..routing.server_limits import ServerLimits
 from ..routing.servers import ServerTable
+from .bodies import Body
 from .crashes import CrashTracker
-from .framing import BodyMemory
+from .memory import MessageMemory
 from .messages import RequestMeta, ResponseKind, ServerNotice, ServerResponse
 from .metrics import EntryMetrics
 from .path_monitor import PathMonitor
@@ -48,7 +49,7 @@
     paths: PathMonitor
     crashes: CrashTracker
     metrics: EntryMetrics
-    body_memory: BodyMemory
+    memory: MessageMemory
     budget_by_service: dict[str, WindowedRetryBudget] = field(default_factory=dict)
     instances: int = UNKNOWN_INSTANCES
     """Entry instances that share the retry budget and the connections to each backend server."""
@@ -70,10 +71,13 @@
         return max_idle_per_instance(rule.connections, self.instances) if rule else 1
 
 
-def digest_request(host: str, method: bytes, target: bytes, body: bytes) -> str:
+def digest_request(host: str, method: bytes, target: bytes, body: Body) -> str:
     """Digest that identifies a request by what a backend server would execute."""
     hashed = hashlib.blake2b(digest_size=12)
-    for part in (host.encode(), method, target, body):
+    for part in (host.encode(), method, target):
         hashed.update(len(part).to_bytes(8, "big"))
         hashed.update(part)
+    hashed.update(len(body).to_bytes(8, "big"))
+    for piece in body.pieces():
+        hashed.update(piece)
     return hashed.hexdigest()
--- a/papayalever/platform/wire.py
+++ b/papayalever/platform/wire.py
@@ -122,7 +122,7 @@
 def _parse_ms(value: bytes) -> float | None:
     try:
         return int(value) / 1000
-    except ValueError:
+    except (ValueError, OverflowError):
         return None
 
 
--- a/papayalever/sockets.py
+++ b/papayalever/sockets.py
@@ -1,5 +1,6 @@
 """Socket options with which the system itself detects a peer that went silent."""
 
+import select
 import socket
 
 KEEPALIVE_IDLE_S = 1
@@ -14,6 +15,19 @@
 must hold again."""
 
 
+def has_peer_left(sock: socket.socket | None) -> bool:
+    """Whether the peer closed or reset a connection, also behind bytes that are not read yet."""
+    if sock is None or sock.fileno() < 0:
+        return False
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLRDHUP)
+    try:
+        return bool(poll.poll(0))
+    except OSError:
+        # Not reported; the end shows with the next read.
+        return False
+
+
 def detect_silent_peer(sock: socket.socket | None) -> None:
     """Set the options on a connection to a server, the store or another instance."""
     if sock is None:
--- a/tests/support/cuts.py
+++ b/tests/support/cuts.py
@@ -63,6 +63,7 @@
         asyncio.get_running_loop().call_later(2.0, transport.abort)
 
     connection._transport = _SilentTransport(transport, write)
+    connection._outbox.open(connection._transport)
 
 
 class _SilentTransport:
