entry: connections to servers keep nothing of an exchange that has ended

What callers saw: a process over its memory, after which requests of kept connections had no answer. 64 connections that had each carried an answer of 3 MB took 444 MB of 222 while they were idle.

Cause: a connection kept the body and headers of its last response until the next one began, and the closures of its last request, which refer to the request's body and, in a cycle, to the connection. The parser refers back to its connection as well, so that both waited for a full run of the garbage collector. Nothing of it was counted.

Why this works: the end of a send, whatever it is, drops response, closures and what is not written; the end of a connection drops its parser.

--- a/papayalever/entry/connection.py
+++ b/papayalever/entry/connection.py
@@ -132,6 +132,8 @@
         self.is_usable = False
         self._fail(SendFailure.LOST, str(exc or "closed"))
         self._outbox.clear()
+        # The parser refers back to this object, which would wait for the garbage collector.
+        self._parser = None
 
     def pause_writing(self) -> None:
         """Keep the rest of a request while the server does not read."""
@@ -206,6 +208,7 @@
         response = ServerResponse(
             status, self._reason, self._headers, self._body.join(), self._head_at
         )
+        self._body.clear()
         if self._matches is None or self._matches(response):
             waiter.set_result(response)
             return
@@ -251,7 +254,10 @@
                 self.is_usable = False
             return response
         finally:
-            self._waiter = None
+            # An idle connection keeps nothing of the request and its response.
+            self._waiter = self._matches = self._on_head = None
+            self._headers = []
+            self._body.clear()
             self._outbox.clear()
             self._release_memory()
             if not is_complete or not self.is_usable:
