entry: input that is expensive to parse leaves the processor to others

What callers saw: 503 "no server has room" to every ordinary request, for seconds, while 100 connections pipelined heads of 15.5 KB with short lines to an instance whose servers were idle; at the directory, queries of 1,500 fields on 60 connections left the front without an answer.

Cause: the loop parses all readable connections in one turn. A read of 32 KB with such heads takes some 12 ms, and a hundred of them more than a second, in which attempts to connect to servers seemed to time out: a trace showed all four servers as failing, and none of the requests reached one. The directory parsed every field of a query although it reads three.

Why this works: the time that parsing takes is measured. Once it is 10 ms in a turn, the other connections get 2 KB each, which an ordinary request fits. A connection whose input took 2 ms within 0.1 s pauses in proportion to that and to the number of those that pause, so that parsing gets about a quarter of the processor. There is no limit on lines or chunks, which callers within their limits may use. Of a directory query, 16 fields are read.

--- a/papayalever/entry/caller.py
+++ b/papayalever/entry/caller.py
@@ -22,7 +22,7 @@
 from .listeners import ListenerRules
 from .messages import DEFAULT_DEADLINE_S, CallerRequest, Response
 from .outbox import Outbox
-from .turns import READ_BYTES
+from .turns import READ_BYTES, ReadCosts
 
 MAX_PIPELINED = 32
 """Pending requests of one connection at which reading pauses, which bounds memory."""
@@ -73,11 +73,14 @@
         self._unsent_bytes = 0
         """The part of it that belongs to responses that the caller has not read."""
         self._meter = FramingMeter()
+        self._costs = ReadCosts()
         self._parser = httptools.HttpRequestParser(self)
         self._pending: deque[PendingResponse] = deque()
         self._outbox = Outbox()
         self._transport: asyncio.Transport | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._pause_timer: asyncio.TimerHandle | None = None
+        """Set while the connection pauses after an expensive read."""
         self._is_reading = False
         self._is_closing = False
         self._is_lost = False
@@ -157,10 +160,10 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """The buffer for the next read."""
-        return self._rules.turns.buffer
+        return self._rules.turns.choose_buffer()
 
     def buffer_updated(self, nbytes: int) -> None:
-        """Parse what was read."""
+        """Parse what was read; input that was expensive to parse pauses the connection."""
         loop = asyncio.get_running_loop()
         started = loop.time()
         self.has_sent = True
@@ -172,7 +175,16 @@
                 self._has_overrun = True
                 self._apply_backpressure()
             return
-        self._feed(self._rules.turns.buffer[:nbytes], started)
+        turns = self._rules.turns
+        self._feed(turns.buffer[:nbytes], started)
+        finished = loop.time()
+        if turns.note_cost(finished - started):
+            loop.call_soon(turns.start_turn)
+        pause_s = self._costs.compute_pause(finished - started, turns.paused, finished)
+        if pause_s and not self._is_closing and self._pause_timer is None:
+            turns.paused += 1
+            self._pause_timer = loop.call_later(pause_s, self._end_pause)
+            self._apply_backpressure()
 
     def eof_received(self) -> bool:
         """Close: the caller has left, and nobody needs the responses to its pending requests."""
@@ -183,6 +195,7 @@
         self._is_closing = self._is_lost = True
         if self._timer:
             self._timer.cancel()
+        self._cancel_pause()
         self._drop_pending()
         self._drop_message()
         self._outbox.clear()
@@ -499,6 +512,7 @@
             # What follows belongs to no body.
             self._rest_bytes = 0
         self._drop_message()
+        self._cancel_pause()
         headers = [(b"Content-Type", b"text/plain")]
         if status == HTTPStatus.SERVICE_UNAVAILABLE:
             headers.append(self._rules.retry_after(MEMORY_RETRY_AFTER_S))
@@ -530,15 +544,26 @@
         self._is_paused = should_pause
 
     def _must_wait(self) -> bool:
-        """Whether the caller's next bytes wait for what is pending."""
+        """Whether the caller's next bytes wait for what is pending, or for other callers."""
         pending_bytes = self._held_bytes - self._message_bytes - self._unsent_bytes
         is_pipelining = len(self._pending) > 1
         return (
             self._outbox.is_full
             or len(self._pending) >= MAX_PIPELINED
             or (is_pipelining and pending_bytes >= MAX_PIPELINED_BYTES)
+            or self._pause_timer is not None
         )
 
+    def _end_pause(self) -> None:
+        self._cancel_pause()
+        self._apply_backpressure()
+
+    def _cancel_pause(self) -> None:
+        if self._pause_timer:
+            self._pause_timer.cancel()
+            self._pause_timer = None
+            self._rules.turns.paused -= 1
+
     # Time.
 
     def _note_progress(self) -> None:
--- a/papayalever/entry/instance.py
+++ b/papayalever/entry/instance.py
@@ -349,6 +349,7 @@
             "view_is_current": float(follower.is_current),
             "view_age_seconds": min(follower.view_origin.age_s, MAX_REPORTED_AGE_S),
             "callers_connected": float(self._connections.count_open(CALLERS)),
+            "callers_paused": float(self._turns.paused),
             "requests_waiting": float(len(self.permit_broker)),
             "requests_sent": float(sum(item.in_flight for item in servers.server_by_id.values())),
             "message_bytes": float(self.shared.memory.used),
--- a/papayalever/platform/wire.py
+++ b/papayalever/platform/wire.py
@@ -27,6 +27,9 @@
 DECIMAL = re.compile(rb"\d{1,18}(\.\d{1,18})?")
 AFFINITY_COOKIE = re.compile(rb"(?:^|;)\s*Affinity-Key=([^;]*)")
 
+MAX_QUERY_FIELDS = 16
+"""Fields of a directory query that are read; callers send three."""
+
 READY_PATH = "/readyz"
 DIRECTORY_PATH = "/resolve"
 RESERVED_HEADERS = frozenset((DEADLINE, TARGET_INSTANCE))
@@ -110,7 +113,8 @@
     path, _, query = target.partition("?")
     if path != DIRECTORY_PATH:
         return None
-    fields = parse_qs(query)
+    # The rest of a query without end is not worth the time.
+    fields = parse_qs("&".join(query.split("&", MAX_QUERY_FIELDS)[:MAX_QUERY_FIELDS]))
     return DirectoryQuery(fields.get("region", [""])[0], fields.get("zone", [""])[0])
 
 
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -21,6 +21,15 @@
     adapt_limit,
     compute_limit,
 )
+from papayalever.entry.turns import (
+    EXPENSIVE_S,
+    MAX_PAUSE_S,
+    SMALL_READ_BYTES,
+    TURN_S,
+    WINDOW_S,
+    ReadCosts,
+    ReadTurns,
+)
 
 from .support.crowd import CrowdCase
 from .support.platform import Caller, Reply, Seen, configuration, sealed
@@ -90,6 +99,31 @@
         self.assertEqual([], unpack_headers(b""))
 
 
+class TestReadTurns(unittest.TestCase):
+    def test_reads_become_small_in_a_turn_that_takes_long(self):
+        turns = ReadTurns()
+        self.assertGreater(len(turns.choose_buffer()), SMALL_READ_BYTES)
+        self.assertTrue(turns.note_cost(TURN_S))
+        self.assertFalse(turns.note_cost(TURN_S))
+        self.assertEqual(SMALL_READ_BYTES, len(turns.choose_buffer()))
+        turns.start_turn()
+        self.assertGreater(len(turns.choose_buffer()), SMALL_READ_BYTES)
+
+    def test_expensive_input_pauses_the_longer_the_more_do(self):
+        self.assertEqual(0.0, ReadCosts().compute_pause(EXPENSIVE_S / 2, 100, 1.0))
+        alone = ReadCosts().compute_pause(EXPENSIVE_S, 0, 1.0)
+        self.assertGreater(alone, EXPENSIVE_S)
+        self.assertAlmostEqual(10 * alone, ReadCosts().compute_pause(EXPENSIVE_S, 9, 1.0))
+        self.assertEqual(MAX_PAUSE_S, ReadCosts().compute_pause(9.0, 10_000, 1.0))
+
+    def test_many_reads_in_a_short_time_add_up(self):
+        costs = ReadCosts()
+        self.assertEqual(0.0, costs.compute_pause(EXPENSIVE_S / 2, 0, 1.0))
+        self.assertGreater(costs.compute_pause(EXPENSIVE_S / 2, 0, 1.0 + WINDOW_S / 2), 0.0)
+        self.assertEqual(0.0, costs.compute_pause(EXPENSIVE_S / 2, 0, 2.0))
+        self.assertEqual(0.0, costs.compute_pause(EXPENSIVE_S / 2, 0, 3.0))
+
+
 @dataclass(eq=False)
 class FakeConnection:
     listener: str = "callers"
