entry: connections of callers leave descriptors for everything else

What callers saw: 900 connections that sent nothing took 916 descriptors of the 600 of the machine in the settings; servers, store and other instances would have found none.

Cause: nothing limited the number of connections, `limits.max_fds` was not read, and the loop accepted up to 512 connections at a turn.

Why this works: each listener has its share of the descriptors that are not kept for files: 0.6 callers, 0.1 the directory, 0.05 readiness, 0.02 metrics. Beyond it, connections that sent nothing for a second, then those idle longest, are closed for new ones. If there are none, the new one is closed at once, and readiness says so for a second. Idle connections to servers have a share of 0.15. 16 connections are accepted at a turn, so that no more can be too many.

--- a/papayalever/entry/instance.py
+++ b/papayalever/entry/instance.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+import socket
 import time
 from collections import Counter
 from contextlib import suppress
@@ -30,7 +31,7 @@
 from ..routing.server_limits import ServerLimits
 from ..routing.servers import ServerTable
 from .caller import CallerConnection
-from .callers import CallerConnections
+from .callers import CallerConnections, count_idle_server_places, count_places
 from .carried import CarryServer
 from .carrying import CarryClient
 from .clock import now
@@ -67,6 +68,8 @@
 from .turns import ReadTurns
 from .watcher import WATCH_HISTORY_SHARE, StoreAccessError
 
+ACCEPTS_PER_TURN = 16
+"""Connections that a listener accepts at a turn of the loop; each may be one too many."""
 BACKLOG = 512
 """Accept queue of a listener; a caller that meets a full queue is delayed by seconds."""
 SWEEP_INTERVAL_S = 0.25
@@ -117,7 +120,7 @@
         servers, limits = ServerTable(), ServerLimits()
         memory = MessageMemory(compute_limit(settings.memory_mb), RESPONSE_SHARE)
         self.metrics = EntryMetrics(self._read_gauges)
-        pool = ConnectionPool(memory)
+        pool = ConnectionPool(memory, count_idle_server_places(settings.max_fds))
         paths = PathMonitor(servers, pool, lambda service: self.shared.max_idle(service), rng)
         pool.on_connected = paths.note_connected
         self.shared = SharedState(
@@ -135,7 +138,11 @@
         )
         domains = Counter(settings.region_by_domain.values())
         self._placement = Placement(servers, settings.region, domains)
-        self._connections = CallerConnections((CALLERS, DIRECTORY, READY, METRICS))
+        self._connections = CallerConnections(
+            count_places(settings.max_fds),
+            lambda: self.shared.routes.limits.idle_s,
+            self._note_refused,
+        )
         memory.make_room = self._connections.make_room
         self._turns = ReadTurns()
         self._trimmer = HeapTrimmer()
@@ -203,7 +210,8 @@
     def is_ready(self) -> bool:
         """Whether callers should use this instance."""
         has_state = self.cache.is_complete and self.shared.routes.version > 0
-        return has_state and self._is_listening and not self.is_leaving
+        is_open = self._is_listening and not self._connections.is_full(CALLERS, now())
+        return has_state and is_open and not self.is_leaving
 
     def reload(self, settings: EntrySettings) -> None:
         """Apply changed settings; identity and listeners change only with a restart."""
@@ -287,14 +295,19 @@
             rules.read_deadline_s = self._read_deadline
         host, port = address.rsplit(":", 1)
         loop = asyncio.get_running_loop()
+        sock = socket.create_server((host, int(port)), backlog=BACKLOG)
+        sock.setblocking(False)
         server = await loop.create_server(
-            lambda: CallerConnection(rules), host, int(port), backlog=BACKLOG
+            lambda: CallerConnection(rules), sock=sock, backlog=ACCEPTS_PER_TURN
         )
+        # The loop listens with the backlog that it is given, and accepts as many at a turn.
+        sock.listen(BACKLOG)
         self._listeners.append(server)
         return server
 
     def _admit(self, connection: CallerConnection) -> bool:
-        self._connections.admit(connection)
+        if not self._connections.admit(connection):
+            return False
         connection.is_draining = self.is_leaving and connection.listener == CALLERS
         return True
 
@@ -349,6 +362,7 @@
             "view_is_current": float(follower.is_current),
             "view_age_seconds": min(follower.view_origin.age_s, MAX_REPORTED_AGE_S),
             "callers_connected": float(self._connections.count_open(CALLERS)),
+            "connections_most": float(self._connections.most_by_listener[CALLERS]),
             "callers_paused": float(self._turns.paused),
             "requests_waiting": float(len(self.permit_broker)),
             "requests_sent": float(sum(item.in_flight for item in servers.server_by_id.values())),
--- a/papayalever/entry/pool.py
+++ b/papayalever/entry/pool.py
@@ -26,8 +26,10 @@
 class ConnectionPool:
     """Idle connections by server id, reused in LIFO order."""
 
-    def __init__(self, memory: MessageMemory) -> None:
+    def __init__(self, memory: MessageMemory, max_idle: int) -> None:
         self._memory = memory
+        self._max_idle = max_idle
+        """Idle connections to all servers together."""
         self.on_connected: Callable[[], None] = lambda: None
         """Called after each new connection."""
         self._idle_by_id: dict[str, deque[ClientConnection]] = {}
@@ -106,6 +108,13 @@
         idle.append(connection)
         while len(idle) > max_idle:
             idle.popleft().close()
+        if sum(map(len, self._idle_by_id.values())) > self._max_idle:
+            self._close_longest_idle()
+
+    def _close_longest_idle(self) -> None:
+        """Close the connection that is idle longest, so that descriptors stay for others."""
+        used = (idle for idle in self._idle_by_id.values() if idle)
+        min(used, key=lambda idle: idle[0].idle_since).popleft().close()
 
     def sweep(self, known_ids: set[str]) -> None:
         """Close connections that exceed their idle timeout or belong to removed servers."""
--- a/papayalever/entry/settings.py
+++ b/papayalever/entry/settings.py
@@ -51,6 +51,8 @@
     store_writes_per_s: float = 400.0
     """Writes that the store takes from all instances together."""
     memory_mb: float = 222.0
+    max_fds: int = 2870
+    """Descriptors of the process, some of which are kept for files."""
     link_mbit_s: float = 100.0
     cpu_share: float = 1.0
     bounds: Bounds = field(default_factory=Bounds)
--- a/papayalever/platform/settings_file.py
+++ b/papayalever/platform/settings_file.py
@@ -60,6 +60,7 @@
         / 1000,
         "store_writes_per_s": value_by_name.get("provider.writes_per_s", "400"),
         "memory_mb": value_by_name.get("limits.memory_mb", "222"),
+        "max_fds": value_by_name.get("limits.max_fds", "2870"),
         "link_mbit_s": value_by_name.get("limits.link_mbps", "100"),
         "cpu_share": value_by_name.get("limits.cpu_share", "1"),
         "bounds": _parse_bounds(bounds),
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -8,7 +8,12 @@
 from unittest.mock import patch
 
 from papayalever.entry.bodies import PIECE_BYTES, SMALL_PART_BYTES, Body
-from papayalever.entry.callers import CallerConnections
+from papayalever.entry.callers import (
+    FILE_DESCRIPTORS,
+    LISTENER_SHARES,
+    CallerConnections,
+    count_places,
+)
 from papayalever.entry.header_block import pack_headers, unpack_headers
 from papayalever.entry.memory import (
     LARGE_REQUEST_SHARE,
@@ -149,11 +154,49 @@
 
 
 class TestCallerConnections(unittest.TestCase):
+    def build(self, most: int) -> CallerConnections:
+        self.refused: list[str] = []
+        return CallerConnections({"callers": most}, lambda: 15.0, self.refused.append)
+
     def at(self, seconds: float) -> object:
         return patch("papayalever.entry.callers.now", lambda: seconds)
 
+    def test_newest_is_refused_while_all_are_in_use(self):
+        connections = self.build(2)
+        with self.at(10.0):
+            used = [FakeConnection() for _ in range(3)]
+            self.assertEqual([True, True, False], [connections.admit(item) for item in used])
+            self.assertTrue(connections.is_full("callers", 10.5))
+            self.assertFalse(connections.is_full("callers", 12.0))
+        self.assertEqual(1, len(self.refused))
+
+    def test_connections_that_are_not_in_use_give_way(self):
+        cases = (
+            (FakeConnection(has_sent=False, opened_at=8.0), True),
+            (FakeConnection(has_sent=False, opened_at=9.5), False),
+            (FakeConnection(is_lingering=True), True),
+            (FakeConnection(idle_s=14.0), True),
+            (FakeConnection(idle_s=1.0), False),
+        )
+        for held, gives_way in cases:
+            with self.subTest(held), self.at(10.0):
+                connections = self.build(1)
+                self.assertTrue(connections.admit(held))
+                self.assertEqual(gives_way, connections.admit(FakeConnection()))
+                self.assertEqual(["aborted"] if gives_way else [], held.ends)
+
+    def test_callers_idle_for_less_give_way_only_if_no_other_does(self):
+        connections = self.build(2)
+        kept, silent = FakeConnection(idle_s=12.0), FakeConnection(has_sent=False)
+        with self.at(10.0):
+            for item in (kept, silent, FakeConnection()):
+                self.assertTrue(connections.admit(item))
+            self.assertEqual(([], ["aborted"]), (kept.ends, silent.ends))
+            self.assertTrue(connections.admit(FakeConnection()))
+        self.assertEqual(["aborted"], kept.ends)
+
     def test_stalled_callers_who_hold_most_are_closed(self):
-        connections = CallerConnections(["callers"])
+        connections = self.build(9)
         large = FakeConnection(stall_s=5.0, held_bytes=5 * MB)
         small = FakeConnection(stall_s=5.0, held_bytes=1 * MB)
         active = FakeConnection(held_bytes=9 * MB)
@@ -163,6 +206,13 @@
             connections.make_room(2 * MB)
         self.assertEqual(([], ["shed"], []), (small.ends, large.ends, active.ends))
 
+    def test_places_leave_descriptors_for_all_else(self):
+        for max_fds in (2870, 600):
+            places = count_places(max_fds)
+            self.assertEqual(set(LISTENER_SHARES), set(places))
+            self.assertLess(sum(places.values()), 0.8 * (max_fds - FILE_DESCRIPTORS))
+        self.assertGreater(min(count_places(0).values()), 0)
+
 
 class TestMemoryIsGivenBack(PlatformCase):
     """At every end of a request nothing is counted any longer."""
