entry: a response without a length is whole only after a clean end

What callers saw: 200 with 30,000 bytes of a longer body. The server had answered an upload of 6 MB at once without a length, sent a part, ended its side and reset the connection.

Cause: the end of the server's side counted as the end of the body, whether or not the request was still being written, and a reset right behind it was not noticed.

Why this works: at that end the whole request must have been received by the server's system (nothing in our buffers, nothing unacknowledged). The response then waits 20 ms, and a reset within that time makes it a failure. Answers with a length or in chunks that end early, HEAD, 204 and 304 were checked too and were right before.

--- a/papayalever/entry/connection.py
+++ b/papayalever/entry/connection.py
@@ -7,7 +7,7 @@
 
 import httptools
 
-from ..sockets import detect_silent_peer
+from ..sockets import count_unacknowledged, detect_silent_peer
 from .bodies import Body
 from .clock import now
 from .framing import FramingMeter
@@ -19,6 +19,9 @@
 """Limit on a buffered response body, which `MessageMemory` lowers while other messages are held."""
 MAX_SKIPPED_RESPONSES = 4
 """Responses to other requests that are skipped before the connection counts as faulty."""
+RESET_GRACE_S = 0.02
+"""How long a reset may follow the end of a response without a length; only if there is none, the
+response is whole."""
 MIN_FINAL_STATUS = 200
 """Responses with a lower status are interim ones; they have no body, and others follow."""
 
@@ -121,11 +124,15 @@
             self._fail(SendFailure.GARBLED, "too many bytes that are not part of a body")
 
     def eof_received(self) -> bool:
-        """Complete a response without a length; any other one is truncated."""
+        """Complete a response without a length unless a reset follows; others are truncated."""
         self.is_usable = False
-        if self._is_in_response and self._is_body_open_ended:
-            self.on_message_complete()
-        return False
+        if not (self._is_in_response and self._is_body_open_ended):
+            return False
+        if self._is_request_unsent():
+            self._fail(SendFailure.LOST, "the connection ended before the request was sent")
+            return False
+        asyncio.get_running_loop().call_later(RESET_GRACE_S, self._complete_at_end)
+        return True
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the pending request."""
@@ -143,6 +150,20 @@
         """Go on to write a request."""
         self._outbox.resume()
 
+    def _complete_at_end(self) -> None:
+        if not self._transport or self._transport.is_closing():
+            return
+        sock = self._transport.get_extra_info("socket")
+        if sock and sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            self._fail(SendFailure.LOST, "the connection was reset after its end")
+            return
+        self.on_message_complete()
+
+    def _is_request_unsent(self) -> bool:
+        """Whether the server has not received the whole request."""
+        sock = self._transport.get_extra_info("socket")
+        return not self._outbox.is_empty or count_unacknowledged(sock) > 0
+
     # Parser.
 
     def on_message_begin(self) -> None:
--- a/papayalever/sockets.py
+++ b/papayalever/sockets.py
@@ -1,7 +1,10 @@
 """Socket options with which the system itself detects a peer that went silent."""
 
+import fcntl
 import select
 import socket
+import struct
+import termios
 
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
@@ -28,6 +31,18 @@
         return False
 
 
+def count_unacknowledged(sock: socket.socket | None) -> int:
+    """Bytes that were written and that the peer's system has not received; 0 if not reported."""
+    if sock is None:
+        return 0
+    try:
+        reported = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+    except (OSError, ValueError):
+        # The system does not report it, or the socket is closed.
+        return 0
+    return struct.unpack("i", reported)[0]
+
+
 def detect_silent_peer(sock: socket.socket | None) -> None:
     """Set the options on a connection to a server, the store or another instance."""
     if sock is None:
