entry: a status that is none ends the exchange at once

What callers saw: nothing until their deadline (504) when a server answered 000, 099 or 199 with a body, although the failure was known at once; 700 and 999 were passed on as answers. Over a carrier, 999 was passed on as well, and a status 000 that a carrier reported reached the caller.

Cause: every status below 200 was taken for an interim response, which others follow, and no status was too high.

Why this works: a status outside 100 to 599, or an interim response with a body, fails the send as an invalid response: 502, or another server if the request may be repeated. A reply of a carrier must have a status of 200 to 599, since older versions may pass on others.

--- a/papayalever/entry/carrying.py
+++ b/papayalever/entry/carrying.py
@@ -15,7 +15,7 @@
 from ..routing.server_limits import MAX_TRANSIT_S
 from ..routing.servers import Server
 from .clock import now
-from .connection import SendError, SendFailure
+from .connection import FINAL_STATUSES, SendError, SendFailure
 from .header_block import HEADER_OBJECT_BYTES, count_headers
 from .memory import MessageMemory
 from .messages import ServerResponse
@@ -140,6 +140,9 @@
                 self._note_refused(carrier, reply.detail)
             raise SendError(failure, reply.detail, is_server_fault=reply.is_server_fault)
         headers = [(bytes(name), bytes(value)) for name, value in reply.headers]
+        if reply.status not in FINAL_STATUSES:
+            detail = f"{reply.status:03} is no status code of a response"
+            raise SendError(SendFailure.GARBLED, detail, is_server_fault=True)
         # Dated as early as it may be, like the limits that other instances report.
         head_at = now() - reply.head_age_ms / 1000 - MAX_TRANSIT_S
         return ServerResponse(reply.status, reply.reason, headers, reply.body, head_at)
--- a/papayalever/entry/connection.py
+++ b/papayalever/entry/connection.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from enum import StrEnum, auto
 
 import httptools
@@ -24,6 +24,10 @@
 response is whole."""
 MIN_FINAL_STATUS = 200
 """Responses with a lower status are interim ones; they have no body, and others follow."""
+STATUSES = range(100, 600)
+"""Valid status codes."""
+FINAL_STATUSES = range(MIN_FINAL_STATUS, 600)
+"""Valid status codes of responses that are no interim ones."""
 
 OnHead = Callable[[int, list[tuple[bytes, bytes]]], None]
 
@@ -190,6 +194,9 @@
         self._head_at = now()
         status = self._parser.get_status_code()
         names = {name for name, _ in self._headers}
+        if fault := find_status_fault(status, names):
+            self._fail(SendFailure.GARBLED, fault)
+            return
         has_body = status >= MIN_FINAL_STATUS and status not in (204, 304)
         has_end = b"content-length" in names or b"transfer-encoding" in names
         self._is_body_open_ended = has_body and not has_end
@@ -335,6 +342,15 @@
     return protocol
 
 
+def find_status_fault(status: int, names: Container[bytes]) -> str:
+    """Why a response with these headers is none in the protocol, empty if it is one."""
+    if status not in STATUSES:
+        return f"{status:03} is no status code"
+    if status < MIN_FINAL_STATUS and (b"content-length" in names or b"transfer-encoding" in names):
+        return f"an interim response with status {status} has a body"
+    return ""
+
+
 def read_keep_alive(value: bytes) -> float | None:
     """Timeout in seconds of a Keep-Alive header, None if it has none."""
     for part in value.split(b","):
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -4,11 +4,17 @@
 import socket
 from collections.abc import Awaitable, Callable
 
+from papayalever.cluster.messages import Carried
+
+from .support.cuts import Cut, ServerCut
 from .support.platform import configuration
+from .test_cut_from_servers import CutCase, FirstTries
 from .test_entry import PlatformCase
 
 UPLOAD_BYTES = 6_000_000
 PART = b"p" * 30_000
+STATUS_LINES = ("000 None", "000", "099 Low", "199 Interim", "101 Switching", "700 High", "999 Top")
+NO_STATUS_LINES = ("0 Short", "20 Short", "2000 Long", "abc Words", "-20 Minus", "")
 
 Answer = Callable[[asyncio.StreamReader, asyncio.StreamWriter, bytes], Awaitable[None]]
 
@@ -171,3 +177,83 @@
             with self.subTest(f"{method} {status}"):
                 answer = state(f"{status} Fine", b"\r\n")
                 self.assertEqual(status, await self.ask_one(answer, method))
+
+
+class TestStatusesThatAreNone(BrokenCase):
+    async def test_caller_gets_a_failure_before_its_deadline(self):
+        for line in STATUS_LINES + NO_STATUS_LINES:
+            for method in ("GET", "POST", "HEAD"):
+                with self.subTest(line, method=method):
+                    self.assertEqual(502, await self.ask_one(state(line), method, b""))
+
+    async def test_request_that_may_be_repeated_goes_on_to_another_server(self):
+        for line in ("000 None", "199 Interim"):
+            await self.add_raw_server(state(line))
+        for _ in range(2):
+            await self.platform.add_server()
+        self.platform.store.put("config", "main", configuration(5, lookup={"attempts": 3}))
+        instance = await self.platform.ready_instance()
+        replies = [
+            await self.platform.ask(instance, f"/lookup/{number}", key=f"k{number}")
+            for number in range(8)
+        ]
+        self.assertEqual({200}, {reply.status for reply in replies})
+
+    async def test_interim_answers_before_the_final_one_are_passed_over(self):
+        interim = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 199 More\r\n\r\n"
+
+        async def answer(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter, sealed: bytes
+        ) -> None:
+            writer.write(interim + b"HTTP/1.1 200 OK\r\n" + sealed + b"Content-Length: 2\r\n\r\nok")
+            await writer.drain()
+            await reader.read()
+
+        self.assertEqual(200, await self.ask_one(answer, "GET"))
+
+
+class TestCarriedAnswers(CutCase):
+    """The answers reach the caller's instance by way of another one."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.instance = self.instances[0]
+        ServerCut([self.instance], Cut.RESET)
+        await FirstTries(self.platform, [self.instance]).run(0.5)
+        self.assertTrue(self.instance.shared.paths.is_cut)
+
+    async def test_broken_answers_of_a_carrier_are_failures(self):
+        for start in (
+            b"HTTP/1.1 000 None\r\nContent-Length: 2\r\n",
+            b"HTTP/1.1 199 Interim\r\nContent-Length: 2\r\n",
+            b"HTTP/1.1 999 Top\r\nContent-Length: 2\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n",
+        ):
+            with self.subTest(start):
+
+                async def answer(seen, writer, start: bytes = start) -> None:
+                    sealed = f"Attempt-Id: {seen.id}\r\nResponse-Seal: s\r\n\r\nno"
+                    writer.write(start + sealed.encode())
+                    await writer.drain()
+                    writer.close()
+
+                for server in self.servers:
+                    server.behave = answer
+                reply = await self.platform.ask(
+                    self.instance, "/signoff/1", method="POST", body=b"x"
+                )
+                self.assertEqual(502, reply.status)
+
+    async def test_status_of_an_older_carrier_is_checked(self):
+        async def carry(_message: object) -> object:
+            return self.make_reply()
+
+        for item in self.instances[1:]:
+            item.carry_server.handle_carry = carry
+        reply = await self.platform.ask(self.instance, "/signoff/1", method="POST", body=b"x")
+        self.assertEqual(502, reply.status)
+
+    @staticmethod
+    def make_reply() -> Carried:
+        headers = [(b"response-seal", b"s")]
+        return Carried(is_sent=True, status=0, reason=b"None", headers=headers, body=b"no")
