entry: a thousand heads that don't end leave turns for ordinary requests

Cause: once a turn had taken 10 ms, every other connection still got 2 KB, which is 0.8 ms of such lines: a second for all of them in each turn, and an ordinary request takes several turns. Counting the memory of a head line by line made each line dearer as well.

Why this works: beyond those 10 ms a connection on which a request has begun gets 128 bytes, a new request 2 KB. The memory of a head is counted once a read, which bounds it as well, since a read has 32 KB at most.

--- a/papayalever/entry/caller.py
+++ b/papayalever/entry/caller.py
@@ -8,7 +8,6 @@
 
 import asyncio
 from collections import deque
-from dataclasses import dataclass
 from http import HTTPStatus
 
 import httptools
@@ -19,7 +18,7 @@
 from .framing import MAX_FRAMING_BYTES, FramingMeter
 from .header_block import END, SEPARATOR, unpack_headers
 from .heads import BadRequestError, check_framing, encode_head
-from .listeners import ListenerRules
+from .listeners import ListenerRules, PendingResponse
 from .messages import DEFAULT_DEADLINE_S, CallerRequest, Response
 from .outbox import Outbox
 from .turns import READ_BYTES, ReadCosts
@@ -50,16 +49,6 @@
 log = logbook.Logger("caller")
 
 
-@dataclass(eq=False, slots=True)
-class PendingResponse:
-    """A response that is not written yet; without a request if it rejects invalid input."""
-
-    task: asyncio.Task[Response]
-    request: CallerRequest | None = None
-    held_bytes: int = 0
-    """Memory that is counted for it."""
-
-
 class CallerConnection(asyncio.BufferedProtocol):
     """Parses requests, runs the handler for each and writes the responses in order."""
 
@@ -105,6 +94,9 @@
         self._head_bytes = 0
         self._partial_bytes = 0
         """Received of the current line of a head."""
+        self._taken_head_bytes = 0
+        """Memory that is counted for the head."""
+        self._max_head_bytes = 0
         self._is_reading_headers = False
         self._deadline_s = DEFAULT_DEADLINE_S
         self._target = b""
@@ -160,7 +152,7 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """The buffer for the next read."""
-        return self._rules.turns.choose_buffer()
+        return self._rules.turns.choose_buffer(self._is_reading)
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parse what was read; input that was expensive to parse pauses the connection."""
@@ -275,6 +267,7 @@
         """Reject framing without end: a line is held by the parser until it is complete."""
         if self._is_reading_headers:
             self._check_partial_line(bytes(data))
+            self._take_head()
         self._bytes_since_piece = 0 if self._has_piece else self._bytes_since_piece + len(data)
         if self._bytes_since_piece > self._rules.read_limits().header_bytes + READ_BYTES:
             raise self._headers_too_large()
@@ -287,7 +280,7 @@
         self._partial_bytes = len(data) - line_start + (0 if line_start else self._partial_bytes)
         # Before the first header, the target is counted already and may be in that line.
         parts = (self._head_bytes, self._partial_bytes)
-        if (sum(parts) if self._head else max(parts)) > self._rules.read_limits().header_bytes:
+        if (sum(parts) if self._head else max(parts)) > self._max_head_bytes:
             raise self._headers_too_large()
 
     def on_message_begin(self) -> None:
@@ -300,14 +293,15 @@
         self._note_progress()
         self._target = b""
         self._head = bytearray()
-        self._head_bytes = self._partial_bytes = self._rest_bytes = 0
+        self._head_bytes = self._partial_bytes = self._taken_head_bytes = self._rest_bytes = 0
+        self._max_head_bytes = self._rules.read_limits().header_bytes
         self._body = Body()
         self._meter = FramingMeter()
 
     def on_url(self, url: bytes) -> None:
         """Collect the target, which may arrive in several chunks."""
-        self._count_head(len(url))
         self._target += url
+        self._count_head(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect one header; trailers are counted and dropped."""
@@ -322,6 +316,7 @@
         """Check framing and length of the body before it is read."""
         if self._is_closing:
             return
+        self._take_head()
         self._is_reading_headers = False
         self._head_bytes = 0
         limits = self._rules.read_limits()
@@ -443,10 +438,14 @@
 
     def _count_head(self, size: int) -> None:
         self._head_bytes += size
-        if self._head_bytes > self._rules.read_limits().header_bytes:
+        if self._head_bytes > self._max_head_bytes:
             raise self._headers_too_large()
-        if self._is_reading_headers:
-            self._take(int(size * HEAD_FACTOR))
+
+    def _take_head(self) -> None:
+        """Count the memory of the head as far as it was received; once a read and not a line."""
+        size = int((len(self._target) + len(self._head)) * HEAD_FACTOR)
+        self._take(size - self._taken_head_bytes)
+        self._taken_head_bytes = size
 
     def _headers_too_large(self) -> BadRequestError:
         return BadRequestError(
--- a/papayalever/entry/listeners.py
+++ b/papayalever/entry/listeners.py
@@ -1,4 +1,4 @@
-"""What the connections of one HTTP listener share."""
+"""What the connections of one HTTP listener share, and what each holds for a response."""
 
 import asyncio
 from collections.abc import Awaitable, Callable
@@ -37,3 +37,13 @@
     read_deadline_s: Callable[[bytes, Headers], float] = _read_default_deadline
     """Seconds from the first byte of a request, by its target and headers, after which nobody waits
     for its response."""
+
+
+@dataclass(eq=False, slots=True)
+class PendingResponse:
+    """A response that is not written yet; without a request if it rejects invalid input."""
+
+    task: asyncio.Task[Response]
+    request: CallerRequest | None = None
+    held_bytes: int = 0
+    """Memory that is counted for it."""
--- a/papayalever/entry/turns.py
+++ b/papayalever/entry/turns.py
@@ -11,6 +11,9 @@
 """Most that is read from one caller's connection at a turn of the event loop."""
 SMALL_READ_BYTES = 2 * 1024
 """Most that is read once a turn has taken `TURN_S`; most requests without a body have less."""
+TINY_READ_BYTES = 128
+"""Most that is read then from a connection on which a request has begun: its rest waits, so that a
+thousand connections take some 50 ms and not a second."""
 TURN_S = 0.01
 """Time that parsing may take in one turn of the event loop before reads become small."""
 EXPENSIVE_S = 0.002
@@ -36,9 +39,11 @@
     paused: int = 0
     """Connections that pause after expensive input."""
 
-    def choose_buffer(self) -> memoryview:
-        """The part of the buffer for the next read."""
-        return self.buffer if self.spent_s < TURN_S else self.buffer[:SMALL_READ_BYTES]
+    def choose_buffer(self, has_begun: bool) -> memoryview:
+        """The part of the buffer for the next read; ``has_begun`` if it continues a request."""
+        if self.spent_s < TURN_S:
+            return self.buffer
+        return self.buffer[: TINY_READ_BYTES if has_begun else SMALL_READ_BYTES]
 
     def note_cost(self, cost_s: float) -> bool:
         """Count a read; returns whether it was the first one of this turn."""
--- a/tests/test_caller_limits.py
+++ b/tests/test_caller_limits.py
@@ -30,6 +30,7 @@
     EXPENSIVE_S,
     MAX_PAUSE_S,
     SMALL_READ_BYTES,
+    TINY_READ_BYTES,
     TURN_S,
     WINDOW_S,
     ReadCosts,
@@ -107,12 +108,13 @@
 class TestReadTurns(unittest.TestCase):
     def test_reads_become_small_in_a_turn_that_takes_long(self):
         turns = ReadTurns()
-        self.assertGreater(len(turns.choose_buffer()), SMALL_READ_BYTES)
+        self.assertGreater(len(turns.choose_buffer(False)), SMALL_READ_BYTES)
         self.assertTrue(turns.note_cost(TURN_S))
         self.assertFalse(turns.note_cost(TURN_S))
-        self.assertEqual(SMALL_READ_BYTES, len(turns.choose_buffer()))
+        self.assertEqual(SMALL_READ_BYTES, len(turns.choose_buffer(False)))
+        self.assertEqual(TINY_READ_BYTES, len(turns.choose_buffer(True)))
         turns.start_turn()
-        self.assertGreater(len(turns.choose_buffer()), SMALL_READ_BYTES)
+        self.assertGreater(len(turns.choose_buffer(True)), SMALL_READ_BYTES)
 
     def test_expensive_input_pauses_the_longer_the_more_do(self):
         self.assertEqual(0.0, ReadCosts().compute_pause(EXPENSIVE_S / 2, 100, 1.0))
