entry: long keys of objects are remembered by their hash

What callers saw: nothing yet; a process grew by 15 KB with each request that named another long key, to 95 MB of 80 in 4,800 requests, and logged 2 MB a second. None of it was given back.

Cause: the order of servers of up to 5,000 objects, and up to 64 objects a server, are kept by the object's key or the request's id, which callers choose at the length of a head.

Why this works: a key of over 128 bytes is replaced by its 128-bit hash where a request first gets it. Shorter keys, as all clients of the users' pages have them, stay as they are. Beside an older version such a long key has another order of servers there, which costs cache hits and nothing else.

Evidence: TestKeys failed before (95 MB) and passes.

--- a/papayalever/entry/exchange.py
+++ b/papayalever/entry/exchange.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 import logbook
+import xxhash
 
 from ..hashing import HASH_RANGE, hash_text
 from ..routing.health import SendOutcome, classify_unanswered
@@ -45,6 +46,8 @@
 MAX_FALLBACKS = 2
 """Servers besides an object's own that are asked for spare capacity. With more of them, servers
 would evict objects of their own from their caches."""
+MAX_KEY_BYTES = 128
+"""Longer keys of objects are replaced by their hash, since thousands of them are remembered."""
 MAX_SELECTIONS = 3
 """How many times a request selects a server, as the selected one may leave while it waits."""
 MIN_RETRY_AFTER_S = 0.15
@@ -349,10 +352,12 @@
         return first, [item for item in others if item is not first][:MAX_FALLBACKS]
 
     def _find_key(self) -> str:
-        if self._route.has_affinity and self._meta.object_key:
-            return self._meta.object_key.decode("latin-1")
+        has_object = self._route.has_affinity and self._meta.object_key
         # Without an object any server is suitable: spread the requests by their ids.
-        return (self._meta.request_id or b"").decode("latin-1")
+        key = self._meta.object_key if has_object else self._meta.request_id or b""
+        if len(key) > MAX_KEY_BYTES:
+            key = xxhash.xxh3_128_hexdigest(key).encode()
+        return key.decode("latin-1")
 
     async def _attempt(self, permit: Permit) -> Response | str:
         """Send once; returns the response for the caller, or the reason why there is none."""
--- a/tests/support/crowd.py
+++ b/tests/support/crowd.py
@@ -129,10 +129,9 @@
         self, size: int, parts: Iterable[bytes], port: int = FRONT, reads: bool = False
     ) -> None:
         """Many callers send the parts and stay open until the crowd ends."""
-        many = list(parts) if not isinstance(parts, Endless) else parts
         begun = asyncio.Semaphore(CONNECTS_AT_A_TIME)
         tasks = [
-            asyncio.create_task(_flood(self.ip, port, many, reads, begun)) for _ in range(size)
+            asyncio.create_task(_flood(self.ip, port, parts, reads, begun)) for _ in range(size)
         ]
         await asyncio.sleep(CROWD_S)
         for task in tasks:
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -4,7 +4,7 @@
 import itertools
 
 from .support.crowd import DIRECTORY, READY, CrowdCase, Endless
-from .support.platform import Seen, sealed
+from .support.platform import Caller, Seen, sealed
 
 HEAD_BYTES = 15_500
 PIECE = b"x" * 65_536
@@ -170,6 +170,21 @@
         await self.check_after()
 
 
+class TestKeys(CrowdCase):
+    """What a caller chooses is not remembered at its length."""
+
+    async def test_long_keys_of_objects(self):
+        await asyncio.gather(*(self._look_up(name, 160) for name in range(30)))
+        await self.check_after()
+
+    async def _look_up(self, name: int, times: int) -> None:
+        caller = await Caller.connect(f"{self.ip}:8144")
+        for number in range(times):
+            caller.send("/lookup/1", f"k{name}-{number}", key=f"{name}-{number}-" + "k" * 15_000)
+            await caller.read()
+        caller.close()
+
+
 class TestSingleRequests(CrowdCase):
     """One request after the other at the limits of the users' sites."""
 
