store: an entry that cannot be read costs only itself

Cause: a page or the response to a watch was decoded at once, with its objects as raw values. The decoder also checks the strings, numbers and nesting of values that it skips, so that one malformed object made the response unreadable, for ever.

Hypotheses: the response is refused whole; the list never ends; applying the entry fails. Two entries, one unreadable, on: the kind of servers is never read, with 12 lists in 3 s, the other four kinds are read once. It is the first. The log said "store unreachable"; it now says "stored objects unreadable" with kind, names and error, and papayalever_objects_unreadable_total counts them.

The fix: a response that cannot be decoded is split at its brackets and commas, and each object is decoded for itself. One without a readable value keeps its name, so that every instance drops what it said before. The special way for deep nesting is gone: test_odd_entries.TestNesting checks the same documents with read_page, and that the objects around them hold, in place of the function that cut them.

--- a/papayalever/entry/instance.py
+++ b/papayalever/entry/instance.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from contextlib import suppress
 from dataclasses import asdict, replace
+from functools import partial
 from random import Random
 from typing import Any
 
@@ -120,6 +121,7 @@
         servers, limits = ServerTable(), ServerLimits()
         memory = MessageMemory(compute_limit(settings.memory_mb), RESPONSE_SHARE)
         self.metrics = EntryMetrics(self._read_gauges)
+        store.on_unreadable = partial(self.metrics.count, "objects_unreadable")
         pool = ConnectionPool(memory, count_idle_server_places(settings.max_fds))
         paths = PathMonitor(servers, pool, lambda service: self.shared.max_idle(service), rng)
         pool.on_connected = paths.note_connected
--- a/papayalever/entry/metrics.py
+++ b/papayalever/entry/metrics.py
@@ -22,9 +22,9 @@
         self._histogram_by_key: dict[tuple[str, str], HdrHistogram] = {}
         self._read_gauges = read_gauges
 
-    def count(self, name: str, label: str) -> None:
+    def count(self, name: str, label: str, amount: int = 1) -> None:
         """Increment a counter, for example ``refusals`` labelled with the reason."""
-        self.counts[name, label] += 1
+        self.counts[name, label] += amount
 
     def time(self, name: str, label: str, seconds: float) -> None:
         """Record a duration in a histogram."""
--- a/papayalever/platform/store.py
+++ b/papayalever/platform/store.py
@@ -3,8 +3,9 @@
 import asyncio
 import re
 from collections import Counter
-from dataclasses import dataclass
-from typing import Annotated, Any
+from collections.abc import Callable
+from dataclasses import asdict, dataclass
+from typing import Any
 from urllib.parse import quote
 
 import logbook
@@ -12,20 +13,15 @@
 
 from ..entry.connection import ClientConnection, SendError, connect
 from ..entry.messages import ServerResponse
-from ..entry.store_position import MAX_REVISION, era_of, make_position, revision_of
+from ..entry.store_position import era_of, make_position, revision_of
 from ..entry.watcher import HistoryExpiredError, ReadResult, StoreAccessError
-from .nesting import REMOVED, remove_nested
+from .documents import Change, DocumentError, Unreadable, read_events, read_page, read_revision
 
 CONNECT_TIMEOUT_S = 0.4
 """Five round trips between regions; short, so that a retry soon notices a healed partition."""
 CALL_TIMEOUT_S = 1.0
 """The store responds in 4 ms; even when 60 times slower, it responds in time."""
 NOT_FOUND = 404
-MAX_DEPTH = 100
-"""Deepest nesting of a response. Those of the platform's own objects are nested less than ten
-deep."""
-UNREADABLE = b"null"
-"""Value of an object that was nested deeper; the readers of all kinds reject it."""
 ERA_HEADER = b"store-era"
 """Rises by one each time the store restores a copy; stores that never do so may omit it."""
 ERA = re.compile(rb"\d{1,18}")
@@ -33,48 +29,9 @@
 WATCH_TIMEOUT_MARGIN_S = 0.6
 """Added to the requested wait, for a slow store; after it the connection counts as dead."""
 
-Revision = Annotated[int, msgspec.Meta(ge=0, le=MAX_REVISION)]
-
 log = logbook.Logger("store")
 
 
-class Metadata(msgspec.Struct):
-    """What the store itself records about an object."""
-
-    name: str
-    revision: Revision = 0
-    deleting: bool = False
-
-
-class StoredObject(msgspec.Struct):
-    """One object; ``spec`` stays encoded for the code that knows its kind."""
-
-    metadata: Metadata
-    spec: msgspec.Raw = msgspec.Raw(b"null")
-
-
-class ListResponse(msgspec.Struct):
-    """A page of objects, each decoded for itself."""
-
-    items: list[msgspec.Raw]
-    as_of: Revision
-    has_more: bool = False
-
-
-class WatchEvent(msgspec.Struct):
-    """A changed or deleted object."""
-
-    object: StoredObject
-    deleted: bool = False
-
-
-class WatchResponse(msgspec.Struct):
-    """Changes after the watched revision, each decoded for itself."""
-
-    events: list[msgspec.Raw]
-    as_of: Revision
-
-
 class StoreError(StoreAccessError):
     """A failed call; ``status`` is 0 if there was no response."""
 
@@ -101,25 +58,35 @@
 
     address: str
     calls_by_kind: Counter
+    on_unreadable: Callable[[str, int], None] = lambda kind, count: None
+    """Called with the number of objects of a kind in a response that cannot be decoded."""
     _has_logged_era: bool = False
 
     async def list_all(self, kind: str) -> ReadResult:
         """List all objects of a kind and the position they were read at."""
-        changes: list[tuple[str, bytes | None]] = []
-        after, first_position = "", None
+        changes: list[Change] = []
+        query, first_position = "", None
+        used_cursors: set[str] = set()
         while True:
-            query = f"?after={quote(after)}" if after else ""
             answer = await self._call("GET", f"/objects/{kind}{query}", None, CALL_TIMEOUT_S)
-            page = _decode(answer.body, ListResponse)
-            items = _decode_each(page.items, StoredObject, kind)
-            changes += [_to_change(item, False) for item in items]
+            page = _read(read_page, answer.body)
+            self._note_unreadable(kind, page.unreadable)
+            changes += page.changes
             position = make_position(answer.era, page.as_of)
             first_position = position if first_position is None else first_position
             if era_of(first_position) != answer.era:
                 raise StoreError(f"GET {kind}: the store restored a copy between two pages")
-            if not page.has_more or not items:
+            if not page.cursors:
                 return ReadResult(changes, first_position)
-            after = items[-1].metadata.name
+            unused = [cursor for cursor in page.cursors if cursor not in used_cursors]
+            if not unused and len(page.cursors) == 1:
+                raise StoreError(f"GET {kind}: the store sends the page after {query} again")
+            if not unused:
+                # What was read still holds; the rest cannot be reached.
+                log.error("list ends at an unreadable name", kind=kind, cursors=page.cursors)
+                return ReadResult(changes, first_position)
+            used_cursors.add(unused[0])
+            query = f"?after={unused[0]}"
 
     async def watch(self, kind: str, position: int, wait_s: float) -> ReadResult:
         """Wait for changes after a position.
@@ -131,12 +98,9 @@
         answer = await self._call("GET", path, None, wait_s + WATCH_TIMEOUT_MARGIN_S)
         if answer.era > era_of(position):
             raise HistoryExpiredError(f"watch {kind}: the store restored a copy")
-        response = _decode(answer.body, WatchResponse)
-        events = _decode_each(response.events, WatchEvent, kind)
-        return ReadResult(
-            [_to_change(item.object, item.deleted) for item in events],
-            make_position(answer.era, response.as_of),
-        )
+        events = _read(read_events, answer.body)
+        self._note_unreadable(kind, events.unreadable)
+        return ReadResult(events.changes, make_position(answer.era, events.as_of))
 
     async def put(self, kind: str, name: str, value: Any) -> int:
         """Create an object or replace it whatever its revision; safe to repeat.
@@ -149,8 +113,7 @@
         except ConflictError:
             path = f"/objects/{kind}/{quote(name)}"
             answer = await self._call("PUT", path, document, CALL_TIMEOUT_S)
-        stored = _decode(answer.body, StoredObject)
-        return make_position(answer.era, stored.metadata.revision)
+        return make_position(answer.era, _read(read_revision, answer.body))
 
     async def delete(self, kind: str, name: str) -> None:
         """Delete an object, which may be gone already."""
@@ -160,6 +123,12 @@
             if error.status != NOT_FOUND:
                 raise
 
+    def _note_unreadable(self, kind: str, unreadable: Unreadable) -> None:
+        if not unreadable.count:
+            return
+        self.on_unreadable(kind, unreadable.count)
+        log.warning("stored objects unreadable", kind=kind, **asdict(unreadable))
+
     async def _call(self, method: str, path: str, document: Any, timeout_s: float) -> StoreAnswer:
         self.calls_by_kind[f"{method} {path.split('/')[2].split('?')[0]}"] += 1
         body = msgspec.json.encode(document) if document is not None else b""
@@ -207,29 +176,8 @@
     return response.body
 
 
-def _decode(body: bytes, response_type: type) -> Any:
+def _read(read: Callable[[bytes], Any], body: bytes) -> Any:
     try:
-        try:
-            return msgspec.json.decode(body, type=response_type)
-        except RecursionError:
-            return msgspec.json.decode(remove_nested(body, MAX_DEPTH), type=response_type)
-    except (msgspec.DecodeError, RecursionError) as error:
-        raise StoreError(f"the store's response cannot be decoded: {error}") from error
-
-
-def _decode_each(items: list[msgspec.Raw], item_type: type, kind: str) -> list[Any]:
-    """Decode objects or events; one that is malformed is left out."""
-    decoded = []
-    for item in items:
-        try:
-            decoded.append(msgspec.json.decode(item, type=item_type))
-        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-            log.warning("stored object not decoded", kind=kind, error=str(error))
-    return decoded
-
-
-def _to_change(item: StoredObject, is_deleted: bool) -> tuple[str, bytes | None]:
-    if is_deleted or item.metadata.deleting:
-        return (item.metadata.name, None)
-    value = bytes(item.spec)
-    return (item.metadata.name, UNREADABLE if REMOVED in value else value)
+        return read(body)
+    except DocumentError as error:
+        raise StoreError(str(error)) from error
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,7 +1,6 @@
 """Odd objects that another writer left in the store: each costs itself and nothing else."""
 
 import asyncio
-import json
 import unittest
 
 import msgspec
@@ -14,7 +13,7 @@
 from papayalever.entry.instance import EntryInstance
 from papayalever.entry.state_updates import INSTANCE_KIND
 from papayalever.platform import objects
-from papayalever.platform.nesting import REMOVED, remove_nested
+from papayalever.platform.documents import UNREADABLE, DocumentError, read_page
 
 from .support.platform import REGIONS, configuration, dump
 from .test_entry import PlatformCase
@@ -151,21 +150,27 @@
 
 
 class TestNesting(unittest.TestCase):
-    def test_only_what_is_nested_too_deeply_is_removed(self):
+    def test_only_the_object_that_is_nested_too_deeply_is_unreadable(self):
         kept = {"a": [{"b": '[[[{ " ] }} \\'}], "c": 'x"[', "d": {"e": [1, 2]}}
-        self.assertEqual(dump(kept), remove_nested(dump(kept), 3))
-        for value in ([1], {"g": "]]"}, [[[[[]]], "[", {}]]):
-            with self.subTest(value=value):
-                deep = dump(kept | {"deep": {"x": {"f": value}, "y": [2]}, "z": 3})
-                left = json.loads(remove_nested(deep, 3))
-                self.assertEqual(json.loads(REMOVED), left["deep"]["x"]["f"])
-                self.assertEqual((kept["a"], [2], 3), (left["a"], left["deep"]["y"], left["z"]))
-
-    def test_document_that_breaks_off_stays_shallow(self):
+        # The value itself is the first level.
+        for value in ("[" * 99 + "]" * 99, '{"[":' * 99 + "1" + "}" * 99):
+            levels = f'{{"x":{value}}}'.encode()
+            with self.subTest(value=value[:9]):
+                for spec, read in ((levels, levels), (b"[%b]" % levels, UNREADABLE)):
+                    items = [
+                        b'{"metadata":{"name":"%b"},"spec":%b}' % item
+                        for item in ((b"a", dump(kept)), (b"deep", spec), (b"z", dump(kept)))
+                    ]
+                    page = read_page(b'{"items":[%b],"as_of":3}' % b",".join(items))
+                    self.assertEqual(
+                        [("a", dump(kept)), ("deep", read), ("z", dump(kept))], page.changes
+                    )
+
+    def test_document_that_breaks_off_is_an_error_of_the_store(self):
         for document in (b"[" * 200_000, b'{"a":' * 200_000, b'["' + b"[" * 200_000):
-            self.assertLess(remove_nested(document, 100).count(b"["), 200_001)
-            with self.assertRaises(msgspec.DecodeError):
-                msgspec.json.decode(remove_nested(document, 100))
+            for body in (document, b'{"as_of":3,"items":' + document):
+                with self.subTest(body=body[:30]), self.assertRaises(DocumentError):
+                    read_page(body)
 
 
 class TestReading(unittest.TestCase):
