settings: a line that is no text costs only itself

What operators saw: a settings file with one byte that is not UTF-8, in a field that nobody reads, was refused whole: the process ended with status 2 at its start, and a changed file was not put in force.

Cause: the file was decoded at once. It is now decoded by line; a line that is no text is left out with a log line. A required field that is lost that way is named as missing. The encoding no longer depends on the locale.

Evidence: test_platform.TestSettingsFile failed before (2 of 2), passes now.

--- a/papayalever/platform/program.py
+++ b/papayalever/platform/program.py
@@ -58,12 +58,12 @@
 
 def main() -> int:
     """Serve until SIGTERM."""
-    try:
-        settings = load_settings(os.environ)
-    except SettingsFileError as error:
-        print(error, file=sys.stderr)
-        return 2
     with JsonLogHandler(sys.stdout.fileno()).applicationbound():
+        try:
+            settings = load_settings(os.environ)
+        except SettingsFileError as error:
+            print(error, file=sys.stderr)
+            return 2
         asyncio.run(_run(settings))
     return 0
 
--- a/papayalever/platform/settings_file.py
+++ b/papayalever/platform/settings_file.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from pathlib import Path
 
+import logbook
 import msgspec
 
 from ..entry.settings import Bounds, EntrySettings
@@ -10,6 +11,8 @@
 PATH_VARIABLE = "PAPAYALEVER_BOOT"
 DEFAULT_PATH = "/etc/papayalever/settings.conf"
 
+log = logbook.Logger("settings")
+
 
 class SettingsFileError(Exception):
     """The settings file cannot be used; the message names the file or the field."""
@@ -24,10 +27,10 @@
     """Read the settings file that the environment names; raises `SettingsFileError`."""
     path = settings_path(variables)
     try:
-        text = path.read_text()
-    except (OSError, UnicodeDecodeError) as error:
+        data = path.read_bytes()
+    except OSError as error:
         raise SettingsFileError(f"settings file {str(path)!r} cannot be read: {error}") from error
-    return parse_settings(text)
+    return parse_settings(_decode_lines(data))
 
 
 def parse_settings(text: str) -> EntrySettings:
@@ -71,6 +74,17 @@
         raise SettingsFileError(f"settings file: {error}") from error
 
 
+def _decode_lines(data: bytes) -> str:
+    """Text of a file without the lines that are not UTF-8; they may be fields that nobody uses."""
+    lines: list[str] = []
+    for number, line in enumerate(data.splitlines(), 1):
+        try:
+            lines.append(line.decode())
+        except UnicodeDecodeError as error:
+            log.warning("line of the settings file ignored", line=number, error=str(error))
+    return "\n".join(lines)
+
+
 def _parse_lines(text: str) -> dict[str, str]:
     pairs = (line.split("=", 1) for line in text.splitlines() if "=" in line)
     return {name.strip(): value.strip() for name, value in pairs}
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,6 +2,7 @@
 
 import json
 import re
+import tempfile
 import unittest
 from pathlib import Path
 
@@ -11,7 +12,12 @@
 
 from papayalever.entry.messages import DirectoryQuery, ResponseKind, ServerLoad, ServerResponse
 from papayalever.platform import objects, wire
-from papayalever.platform.settings_file import SettingsFileError, parse_settings
+from papayalever.platform.settings_file import (
+    PATH_VARIABLE,
+    SettingsFileError,
+    load_settings,
+    parse_settings,
+)
 from papayalever.routing.servers import Phase
 
 from .support.platform import REGIONS, FakeServer, boot_text, configuration, dump
@@ -253,3 +259,24 @@
             if match
         ]
         self.assertEqual([], found)
+
+
+class TestSettingsFile(unittest.TestCase):
+    """Guards against one unreadable line of the settings file that made the whole file unusable."""
+
+    def test_line_that_is_no_text_costs_only_itself(self):
+        text = boot_text("edge-noord-a-1", "127.0.0.1", "noord-a", "127.0.0.1:8142").encode()
+        for line in (b"new.field=\xff\n", b"new.\xc3\x28=1\n", b"zones.odd=\xed\xa0\x80\n"):
+            with self.subTest(line=line), tempfile.NamedTemporaryFile() as file:
+                file.write(line + text + line)
+                file.flush()
+                settings = load_settings({PATH_VARIABLE: file.name})
+                self.assertEqual(parse_settings(text.decode()), settings)
+
+    def test_required_field_that_is_no_text_is_named(self):
+        text = boot_text("edge", "127.0.0.1", "noord-a", "127.0.0.1:8142").encode()
+        with tempfile.NamedTemporaryFile() as file:
+            file.write(text.replace(b"node_name=edge", b"node_name=\xff"))
+            file.flush()
+            with self.assertRaisesRegex(SettingsFileError, "'node_name' is missing"):
+                load_settings({PATH_VARIABLE: file.name})
