follower: a view is as old as the last answer of the store behind it

Nobody looked for another way, and the other regions' readers that were polled against this were as silent. The limits that count, config_ms and drain_ms, entered nowhere.

The fix: all limits follow from the shortest bound (entry/freshness.py). A reader hears from the store about every quarter of it, says when it does not, and its followers skip it; the next oldest reads. An instance without a current upstream reads the store itself before the bound. Answers that a frozen process finds when it thaws count from when they were sent. An instance that takes over from a reader whose store was away counts the whole outage.

--- a/papayalever/entry/follower.py
+++ b/papayalever/entry/follower.py
@@ -4,6 +4,7 @@
 import itertools
 from collections.abc import Mapping
 from contextlib import suppress
+from dataclasses import replace
 from functools import partial
 from random import Random
 
@@ -23,6 +24,7 @@
 )
 from ..routing.replication_tree import InstanceEntry, ReplicationTree
 from .clock import now
+from .freshness import Freshness, WatchSchedule, compute_age_s
 from .store_cache import STORE_ORIGIN, Origin, StoreCache
 from .supervision import supervise
 from .watcher import KindWatcher, StoreHealth, StoreReader
@@ -36,10 +38,13 @@
 """How much later than expected a reply may be before the next upstream is polled as well: several
 round trips between regions. Silent upstreams then delay a change by this time each, and not by
 `REPLY_TIMEOUT_S`."""
-MAX_AGE_S = 2.0
-"""A cache whose newest contact with the store is older is not current. Covers a chain of three
-upstreams, each polled every `LONG_POLL_S`, and equals the shortest staleness bound of the
-deployments."""
+CHAIN_AGE_S = 1.5 * LONG_POLL_S
+"""How much older than a reader's a view may be. Covers a chain of three upstreams,
+each polled every `LONG_POLL_S`, below a reader that was answered in time."""
+MAX_REPORTED_AGE_S = 60.0
+"""Largest age in a reply."""
+CHECK_MARGIN_S = 0.01
+"""Added to a wait, so that a limit has passed when it ends."""
 READER_CHECK_INTERVAL_S = 0.5
 """How often an instance that reads the store checks whether an older instance should do so."""
 SEED_TIMEOUT_S = 1.2
@@ -80,22 +85,22 @@
         pool: LinkPool,
         seeds: tuple[str, ...],
         rng: Random,
-        wait_by_kind: Mapping[str, float],
+        freshness: Freshness,
+        schedule_by_kind: Mapping[str, WatchSchedule],
     ) -> None:
         self.tree = tree
         self.health = StoreHealth()
-        self.last_contact_at = float("-inf")
-        """When an instance whose cache is current last replied."""
-        self._age_at_contact_s = 0.0
-        """Time since that instance's contact with the store, when it replied."""
+        self._confirmed_at = float("-inf")
+        """Time of the latest answer of the store that another instance's reply is based on."""
+        self._freshness = freshness
         self.upstream_name = ""
         self.is_leaving = False
         self._cache = cache
         self._pool = pool
         self._seeds = seeds
         self._watchers = [
-            KindWatcher(kind, store, cache, self.health, rng, wait_s)
-            for kind, wait_s in wait_by_kind.items()
+            KindWatcher(kind, store, cache, self.health, rng, schedule, self._age_s)
+            for kind, schedule in schedule_by_kind.items()
         ]
         self._tasks: list[asyncio.Task] = []
         self._poll_by_name: dict[str, asyncio.Task[FollowReply | None]] = {}
@@ -114,7 +119,16 @@
     @property
     def is_current(self) -> bool:
         """Whether the cache is kept current, from the store or through a current instance."""
-        return self._age_s() < MAX_AGE_S
+        return self._age_s() < self._max_age_s
+
+    @property
+    def _max_age_s(self) -> float:
+        """Age at which the view is no longer current."""
+        if self._reading_age_s() < float("inf"):
+            return self._freshness.silent_s
+        if self._without_upstream_since is not None:
+            return self._freshness.give_up_s
+        return self._freshness.silent_s + CHAIN_AGE_S
 
     async def run(self) -> None:
         """Keep the cache current until cancelled."""
@@ -130,8 +144,9 @@
                     self._start_reading()
                     if not is_reader and await self._poll_upstreams():
                         self._read_until = float("-inf")
+                        self._without_upstream_since = None
                     elif not self._is_store_failing or not await self._poll_fallback_sources():
-                        await self._cache.wait_change(READER_CHECK_INTERVAL_S)
+                        await self._wait_while_current(READER_CHECK_INTERVAL_S)
                 elif await self._poll_upstreams():
                     self._without_upstream_since = None
                 else:
@@ -170,17 +185,17 @@
         """
         if self._without_upstream_since is None:
             self._without_upstream_since = at
-        if at - self._without_upstream_since < UPSTREAM_GRACE_S:
+            log.warning("no relay is current", age_ms=self._age_ms())
+        is_in_grace = at - self._without_upstream_since < UPSTREAM_GRACE_S
+        if is_in_grace and self._age_s() < self._freshness.give_up_s:
             await asyncio.sleep(UPSTREAM_RETRY_S)
             return
-        self._without_upstream_since = None
         self._read_until = at + DIRECT_READ_S
 
     async def poll_remote_readers(self) -> None:
         """Poll the readers of other regions in turn while this is the oldest of its failure domain.
 
-        A reader whose connection to the store is silent notices it only when its watch times out,
-        which is later than changes must be in force; until then it counts as current.
+        They may be the only ones that the store answers.
         """
         for number in itertools.count():
             await asyncio.sleep(REMOTE_POLL_INTERVAL_S)
@@ -194,11 +209,16 @@
                 log.warning("relay unreachable", relay=reader.name)
                 continue
             self._apply(reply, reader.name)
+            self._note_reply(reader, reply)
 
     @property
     def _is_store_failing(self) -> bool:
-        """Whether this instance reads the store, but its calls fail."""
-        return self.is_reading and self.health.failing_since is not None
+        """Whether this instance reads the store, but its calls fail or are not answered."""
+        if not self.is_reading:
+            return False
+        return self.health.failing_since is not None or (
+            self._freshness.silent_s <= self._reading_age_s() < float("inf")
+        )
 
     async def _poll_fallback_sources(self) -> bool:
         """Poll other instances while the store fails; returns whether one is current."""
@@ -208,8 +228,9 @@
                 self.tree.mark_suspect(source.name, now())
                 continue
             self._apply(reply, source.name)
-            if reply.is_current:
-                self._note_contact(source, reply.age_ms / 1000)
+            # One that follows this instance is no newer.
+            if self._note_reply(source, reply) and self._is_newer_than_reading(reply):
+                self._note_contact(source)
                 return True
         return False
 
@@ -220,22 +241,36 @@
         return Origin(name, self._age_s())
 
     def _age_s(self) -> float:
-        """Time since the newest contact with the store that the cache reflects."""
-        if self.is_reading and all(watcher.is_connected for watcher in self._watchers):
-            return 0.0
-        return now() - self.last_contact_at + self._age_at_contact_s
+        """Time since the latest answer of the store that the cache reflects."""
+        return min(self._reading_age_s(), now() - self._confirmed_at)
+
+    def _age_ms(self) -> int:
+        # Rounded up: instances that follow each other must not make a view younger.
+        return int(min(self._age_s(), MAX_REPORTED_AGE_S) * 1000) + 1
+
+    def _reading_age_s(self) -> float:
+        """Age of what this instance read itself, infinite unless it reads and was answered."""
+        if not self.is_reading:
+            return float("inf")
+        return compute_age_s((watcher.answer for watcher in self._watchers), now())
+
+    async def _wait_while_current(self, timeout_s: float) -> None:
+        """Wait for an update, at most until this instance's view is no longer current."""
+        left_s = self._max_age_s - self._age_s()
+        if left_s > 0:
+            timeout_s = min(timeout_s, left_s + CHECK_MARGIN_S)
+        await self._cache.wait_change(timeout_s)
 
     async def handle_follow(self, message: Follow) -> FollowReply:
         """Reply with the updates since the sender's positions, or after a wait with none."""
         self.tree.clear_suspect(message.instance)
         updates = self._cache.updates_since(message.position_by_kind, now())
-        if not updates and self.is_current:
-            await self._cache.wait_change(message.wait_ms / 1000)
+        end_at = now() + message.wait_ms / 1000
+        while not updates and self.is_current and now() < end_at:
+            await self._wait_while_current(end_at - now())
             updates = self._cache.updates_since(message.position_by_kind, now())
-        age_s = self._age_s()
-        is_current = age_s < MAX_AGE_S and not self.is_leaving and not self._is_store_failing
-        age_ms = int(min(age_s, MAX_AGE_S) * 1000)
-        return FollowReply(is_current, updates, age_ms, self.tree.own.started_ms)
+        is_current = self.is_current and not self.is_leaving and not self._is_store_failing
+        return FollowReply(is_current, updates, self._age_ms(), self.tree.own.started_ms)
 
     async def poll_seeds(self) -> None:
         """Fill the cache from running instances: the store may be unreachable during the start."""
@@ -281,20 +316,40 @@
         The first one may wait for a change. While its reply is late, the next ones are polled too.
         """
         wait_s = LONG_POLL_S
-        for upstream in self.tree.upstreams(now()):
-            if upstream.name in self._poll_by_name:
-                continue
+        asked: set[str] = set()
+        while upstream := self._next_upstream(asked):
+            asked.add(upstream.name)
             poll = asyncio.create_task(self._poll_upstream(upstream, wait_s))
             self._poll_by_name[upstream.name] = poll
             poll.add_done_callback(partial(self._forget_poll, upstream.name))
             await asyncio.wait([poll], timeout=wait_s + LATE_REPLY_S)
             reply = poll.result() if poll.done() else None
-            if reply and reply.is_current:
-                self._note_upstream(upstream, reply.age_ms / 1000)
+            if reply and self._note_reply(upstream, reply):
+                self._note_upstream(upstream)
                 return True
             wait_s = 0.0
         return False
 
+    def _next_upstream(self, asked: set[str]) -> InstanceEntry | None:
+        """The best upstream that was not asked yet; replies change which ones there are."""
+        for upstream in self.tree.upstreams(now()):
+            if upstream.name not in asked and upstream.name not in self._poll_by_name:
+                return upstream
+        return None
+
+    def _note_reply(self, sender: InstanceEntry, reply: FollowReply) -> bool:
+        """Record how old the sender's view is; returns whether it is current."""
+        if reply.is_current:
+            self._note_current(reply.age_ms / 1000)
+            return True
+        if reply.age_ms / 1000 >= self._freshness.silent_s:
+            self.tree.mark_outdated(sender.name, now())
+            log.info("relay hears nothing from the store", relay=sender.name, age_ms=reply.age_ms)
+        return False
+
+    def _is_newer_than_reading(self, reply: FollowReply) -> bool:
+        return reply.age_ms / 1000 < self._reading_age_s()
+
     def _forget_poll(self, name: str, poll: asyncio.Task[FollowReply | None]) -> None:
         del self._poll_by_name[name]
         if not poll.cancelled() and (error := poll.exception()):
@@ -311,29 +366,32 @@
         self.tree.note_start(upstream.name, reply.started_ms)
         return reply
 
-    def _note_upstream(self, upstream: InstanceEntry, age_s: float) -> None:
-        self._note_contact(upstream, age_s)
+    def _note_upstream(self, upstream: InstanceEntry) -> None:
+        self._note_contact(upstream)
         if self._cache.is_complete:
             self._stop_reading()
 
-    def _note_contact(self, source: InstanceEntry, age_s: float) -> None:
-        self._note_current(age_s)
+    def _note_contact(self, source: InstanceEntry) -> None:
         if self.upstream_name != source.name:
             self.upstream_name = source.name
             log.info("following relay", relay=source.name)
 
     def _note_current(self, age_s: float) -> None:
-        self.last_contact_at = now()
-        self._age_at_contact_s = age_s
+        self._confirmed_at = max(self._confirmed_at, now() - age_s)
 
     async def _poll(self, address: str, wait_s: float = LONG_POLL_S) -> FollowReply | None:
         positions = self._cache.position_by_kind | {ACCEPTS_PACKED: 1, ACCEPTS_HELD: 1}
         request = Follow(self.tree.own.name, positions, int(wait_s * 1000))
+        started = now()
         try:
             reply = await self._pool.request(address, request, REPLY_TIMEOUT_S)
         except PeerUnreachableError:
             return None
-        return reply if isinstance(reply, FollowReply) else None
+        if not isinstance(reply, FollowReply):
+            return None
+        # A reply that was under way for long, or was waiting while this process was stopped.
+        late_s = max(0.0, now() - started - wait_s)
+        return replace(reply, age_ms=reply.age_ms + int(late_s * 1000))
 
     def _apply(self, reply: FollowReply, sender: str) -> None:
         origin = Origin(sender, reply.age_ms / 1000)
--- a/papayalever/entry/instance.py
+++ b/papayalever/entry/instance.py
@@ -38,7 +38,8 @@
 from .clock import now
 from .crashes import CRASH_KIND, CrashTracker
 from .exchange import Exchange, refuse
-from .follower import MAX_AGE_S, Follower
+from .follower import Follower
+from .freshness import WATCH_SHARE, WatchSchedule, compute_freshness, schedule_alternating
 from .header_block import Headers
 from .hold_policies import build_hold_policies
 from .housekeeping import Housekeeping
@@ -89,8 +90,6 @@
 REGISTER_RETRY_S = 1.0
 """Interval between attempts to register; store calls are rate-limited and billed, and no request
 depends on the entry."""
-WATCH_MARGIN_S = 1.0
-"""Time from the timeout of a watch on a dead connection to the response to the following list."""
 MAX_REPORTED_AGE_S = 3600.0
 """Age that logs and metrics show for a view that never had contact with the store."""
 REWRITE_SHARE = 0.25
@@ -201,7 +200,8 @@
             self._links,
             settings.seeds,
             rng,
-            self._watch_timeouts(),
+            compute_freshness(settings.bounds, len(self._state_updater.strict_kinds)),
+            self._schedule_watches(),
         )
         self._housekeeping = Housekeeping(
             self._tree, self.cache, self.shared.crashes, store, self._links, INSTANCE_KIND
@@ -324,19 +324,17 @@
         route = self.shared.routes.match(host, path)
         return min(deadline_s, route.timeout_s) if route else min(deadline_s, DEFAULT_DEADLINE_S)
 
-    def _watch_timeouts(self) -> dict[str, float]:
-        """Timeout of a watch on the store, by kind.
-
-        A dead connection may show only by the missing response. Kinds with a staleness bound are
-        therefore queried again before the instance's view counts as stale.
-        """
-        settings = self.settings
-        longest_s = settings.history_s * WATCH_HISTORY_SHARE
-        bounded_s = max(1.0, settings.bounds.contact_s - WATCH_MARGIN_S)
-        bounded = self._state_updater.bounded_kinds
-        return {
-            kind: bounded_s if kind in bounded else longest_s for kind in self._state_updater.kinds
-        }
+    def _schedule_watches(self) -> dict[str, WatchSchedule]:
+        """Schedule of the watches of each kind; those with the shortest bound alternate."""
+        bounds, strict = self.settings.bounds, self._state_updater.strict_kinds
+        longest_s = self.settings.history_s * WATCH_HISTORY_SHARE
+        freshness = compute_freshness(bounds, len(strict))
+        schedules = {kind: WatchSchedule(longest_s) for kind in self._state_updater.kinds}
+        for index, kind in enumerate(strict):
+            schedules[kind] = schedule_alternating(freshness, index, len(strict))
+        evacuation_s = WATCH_SHARE * min(bounds.evacuation_s, bounds.contact_s)
+        schedules[self._store_adapter.evacuation_kind] = WatchSchedule(evacuation_s)
+        return schedules
 
     def _caller_limits(self) -> CallerLimits:
         return self.shared.routes.limits
@@ -453,7 +451,7 @@
             status=response.status,
             reason=response.reason,
             ms=round(took_s * 1000, 1),
-            view_is_current=view.age_s < MAX_AGE_S,
+            view_is_current=self.follower.is_current,
             view_age_ms=int(min(view.age_s, MAX_REPORTED_AGE_S) * 1000),
             **fields,
         )
--- a/papayalever/entry/settings.py
+++ b/papayalever/entry/settings.py
@@ -13,6 +13,8 @@
     """Time after a backend server announces its shutdown in which requests to it must cease."""
     config_s: float = 2.5
     """Time within which an accepted configuration is in force on all instances."""
+    evacuation_s: float = 2.5
+    """Time within which requests to an evacuated failure domain must cease."""
     stop_s: float = 6.0
     """Time from SIGTERM to SIGKILL."""
     reuse_after_s: float = 2.0
--- a/papayalever/entry/state_updates.py
+++ b/papayalever/entry/state_updates.py
@@ -77,10 +77,9 @@
         return tuple(self._apply_by_kind)
 
     @property
-    def bounded_kinds(self) -> tuple[str, ...]:
-        """Kinds whose changes must be applied within the staleness bounds of the settings."""
-        adapter = self._adapter
-        return (adapter.config_kind, adapter.server_kind, adapter.evacuation_kind)
+    def strict_kinds(self) -> tuple[str, ...]:
+        """Kinds whose changes must be applied within the shortest staleness bound."""
+        return (self._adapter.config_kind, self._adapter.server_kind)
 
     def apply(self, update: KindUpdate, origin: Origin) -> None:
         """Apply an update of one kind."""
--- a/papayalever/entry/watcher.py
+++ b/papayalever/entry/watcher.py
@@ -2,6 +2,7 @@
 the watch cannot continue."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
 from typing import Protocol
@@ -9,6 +10,7 @@
 import logbook
 
 from ..cluster.messages import KindUpdate
+from .freshness import KindAnswer, WatchSchedule, compute_wait_s
 from .store_cache import StoreCache
 from .store_position import NEVER_READ, era_of, revision_of
 
@@ -30,6 +32,8 @@
 FIRST_WAIT_S = 0.05
 """Wait of the first watch of a reader that has the objects from another instance: its followers
 need to know soon that it reaches the store."""
+AFTER_PAUSE_SHARE = 0.3
+"""Longest wait of the watch after such a pause, as a share of the period."""
 MIN_OUTAGE_S = 1.0
 """A list after failures for longer than this counts as a list after an outage."""
 
@@ -110,12 +114,19 @@
         cache: StoreCache,
         health: StoreHealth,
         rng: Random,
-        wait_s: float,
+        schedule: WatchSchedule,
+        read_age_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
-        self._wait_s = min(MAX_WAIT_S, wait_s)
+        self._schedule = schedule
+        self._read_age_s = read_age_s
+        """Age of the instance's view: it may have taken over from a reader that failed before."""
         self.kind = kind
         self.is_connected = False
         """Whether the last call succeeded."""
+        self._answered_at: float | None = None
+        """Latest time at which the store is known to have had no newer state than the cache."""
+        self._has_paused = False
+        """Whether a pause after a change delayed the next watch."""
         self._store = store
         self._cache = cache
         self._health = health
@@ -123,12 +134,18 @@
         self._failing_since: float | None = None
         self._is_history_expired = False
 
+    @property
+    def answer(self) -> KindAnswer:
+        """When the store last answered, since this instance reads it."""
+        return KindAnswer(self._answered_at, self._schedule.longest_s)
+
     async def run(self) -> None:
         """List and watch the kind until cancelled."""
         try:
             while True:
                 if self._failing_since is None and not self._health.must_probe:
-                    if await self._read_once():
+                    self._has_paused = await self._read_once()
+                    if self._has_paused:
                         await asyncio.sleep(BATCH_PAUSE_S)
                     continue
                 async with self._health.probe_lock:
@@ -138,6 +155,7 @@
                     await asyncio.sleep(BATCH_PAUSE_S)
         finally:
             self.is_connected = False
+            self._answered_at = None
 
     async def _probe(self) -> bool:
         """Make one call, unless another watcher has succeeded meanwhile; returns whether it did."""
@@ -151,6 +169,7 @@
     async def _read_once(self, is_probe: bool = False) -> bool:
         """Make one call to the store; returns whether it brought changes or all objects."""
         loop = asyncio.get_running_loop()
+        started, wait_s = loop.time(), 0.0
         known = self._cache.position(self.kind)
         is_other_era = era_of(known) < self._cache.era
         is_snapshot = known == NEVER_READ or self._is_history_expired or is_other_era or is_probe
@@ -158,7 +177,7 @@
             if is_snapshot:
                 result = await self._store.list_all(self.kind)
             else:
-                wait_s = self._wait_s if self.is_connected else min(self._wait_s, FIRST_WAIT_S)
+                wait_s = self._compute_wait_s(started)
                 result = await self._watch(known, wait_s)
             _check_order(result, known)
         except HistoryExpiredError:
@@ -175,7 +194,11 @@
             self._failing_since = self._failing_since or loop.time()
             self._health.note_failure(self.kind, error, loop.time())
             return False
-        outage_s = loop.time() - self._failing_since if self._failing_since is not None else 0.0
+        outage_s = 0.0
+        if self._failing_since is not None:
+            outage_s = max(loop.time() - self._failing_since, self._read_age_s())
+        # An answer that was waiting while the process was stopped is older than its arrival.
+        self._answered_at = min(loop.time(), started + wait_s)
         self._health.note_success(self.kind, loop.time())
         self._failing_since = None
         self._is_history_expired = False
@@ -188,12 +211,26 @@
         )
         return is_snapshot or bool(result.changes)
 
+    def _compute_wait_s(self, now: float) -> float:
+        wait_s = min(MAX_WAIT_S, compute_wait_s(self._schedule, now))
+        if not self.is_connected:
+            return min(wait_s, FIRST_WAIT_S)
+        if self._has_paused and self._schedule.offset_s is not None:
+            # The pause took the time of a slot.
+            return min(wait_s, self._schedule.period_s * AFTER_PAUSE_SHARE)
+        return wait_s
+
     async def _watch(self, known: int, wait_s: float) -> ReadResult:
         """Watch the kind; `HistoryExpiredError` as soon as another kind is known in a later era."""
+        timeout_s = wait_s + self._schedule.timeout_margin_s
         watch = asyncio.ensure_future(self._store.watch(self.kind, known, wait_s))
         later_era = asyncio.ensure_future(self._cache.wait_later_era(era_of(known)))
         try:
-            await asyncio.wait({watch, later_era}, return_when=asyncio.FIRST_COMPLETED)
+            await asyncio.wait(
+                {watch, later_era}, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
+            )
+            if not watch.done() and not later_era.done():
+                raise StoreAccessError(f"watch {self.kind}: no response within {timeout_s:.1f} s")
             if not watch.done():
                 raise HistoryExpiredError(f"watch {self.kind}: the store restored a copy")
             return watch.result()
--- a/papayalever/platform/settings_file.py
+++ b/papayalever/platform/settings_file.py
@@ -107,6 +107,7 @@
         contact_s=seconds("contact_ms", 4000),
         drain_s=seconds("drain_ms", 2500),
         config_s=seconds("config_ms", 2500),
+        evacuation_s=seconds("evacuation_ms", 2500),
         stop_s=number("grace_s", 6),
         reuse_after_s=number("reuse_after_s", 2),
         repeat_share=number("retry_budget_ratio", 0.2),
--- a/papayalever/routing/replication_tree.py
+++ b/papayalever/routing/replication_tree.py
@@ -47,6 +47,7 @@
     own: InstanceEntry
     entry_by_name: dict[str, InstanceEntry] = field(default_factory=dict)
     _suspect_until: dict[str, float] = field(default_factory=dict)
+    _outdated_until: dict[str, float] = field(default_factory=dict)
 
     def replace_all(self, entries: Iterable[InstanceEntry]) -> None:
         """Replace the registered instances."""
@@ -56,6 +57,10 @@
         """Skip an instance for `SUSPECT_S` because it did not answer."""
         self._suspect_until[name] = now + SUSPECT_S
 
+    def mark_outdated(self, name: str, now: float) -> None:
+        """Skip an instance for `SUSPECT_S` because it hears nothing from the store."""
+        self._outdated_until[name] = now + SUSPECT_S
+
     def note_start(self, name: str, started_ms: int) -> None:
         """Set the start time that an instance reported; its entry may be from an earlier run."""
         entry = self.entry_by_name.get(name)
@@ -112,6 +117,7 @@
             if entry.region == region
             and entry.name != self.own.name
             and self._suspect_until.get(entry.name, 0.0) <= now
+            and self._outdated_until.get(entry.name, 0.0) <= now
         ]
         return sorted(found, key=_age_key)
 
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -38,6 +38,8 @@
         self.calls: Counter[str] = Counter()
         self.callers: Counter[str] = Counter()
         self.down_for: Callable[[str], bool] = lambda host: False
+        self.silent_for: Callable[[str, str], bool] = lambda host, kind: False
+        """Whether reads of a kind get no answer, those that wait included."""
         self.forgets = False
         self.era = ""
         """Value of the header in which the store names its era, empty for none."""
@@ -125,6 +127,7 @@
         kind = request.match_info["kind"]
         if "watch" not in request.query:
             self._enter(request, f"list {kind}")
+            await self._stay_silent(request, kind)
             names = sorted(name for other, name in self.objects if other == kind)
             names = [name for name in names if name > request.query.get("after", "")]
             items = [self.objects[kind, name] for name in names[: self.page]]
@@ -144,8 +147,13 @@
             with suppress(TimeoutError):
                 async with asyncio.timeout(0.05):
                     await self._changed.wait()
+        await self._stay_silent(request, kind)
         return to_response({"events": self._events(kind, since), "as_of": self.revision})
 
+    async def _stay_silent(self, request: web.Request, kind: str) -> None:
+        if self.silent_for(self._find_caller(request), kind):
+            await asyncio.Event().wait()
+
     def _events(self, kind: str, since: int) -> list[dict]:
         return [
             {"object": item, "deleted": is_deleted}
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -17,6 +17,7 @@
 )
 from papayalever.entry.clock import now
 from papayalever.entry.crashes import CRASH_KIND
+from papayalever.entry.freshness import WatchSchedule
 from papayalever.entry.held_objects import HoldPolicy
 from papayalever.entry.hold_policies import HEARTBEATS_PER_LEASE, REWRITE_S, build_hold_policies
 from papayalever.entry.instance import EntryInstance
@@ -276,7 +277,7 @@
         late = ReadResult([("main", b"old")], make_position(1, 99))
         store = AnsweringStore(late, late, ReadResult([("main", b"new")], make_position(2, 11)))
         health = StoreHealth()
-        watcher = KindWatcher("config", store, cache, health, Random(1), 1.0)
+        watcher = KindWatcher("config", store, cache, health, Random(1), WatchSchedule(1.0))
         task = asyncio.create_task(watcher.run())
         while store.calls < 2:
             await asyncio.sleep(0.01)
