follower: an instance that reads in place of an older one retries slowly

Cause: since followers skip a reader that hears nothing. In an outage that makes the next oldest the reader, then the one after it, each with the short pauses of a reader.

The fix: such a stand-in makes one call first, and pauses 1.5 s after a failure, like other instances that read only because they found nobody current.

--- a/papayalever/entry/follower.py
+++ b/papayalever/entry/follower.py
@@ -139,7 +139,9 @@
                 self._start_reading()
             while True:
                 is_reader = self.tree.is_reader(now())
-                self.health.is_low_priority = not is_reader and self._cache.is_complete
+                is_complete = self._cache.is_complete
+                self.health.is_low_priority = not is_reader and is_complete
+                self.health.is_stand_in = is_complete and not self.tree.is_oldest_in_region(now())
                 if is_reader or now() < self._read_until:
                     self._start_reading()
                     if not is_reader and await self._poll_upstreams():
--- a/papayalever/entry/watcher.py
+++ b/papayalever/entry/watcher.py
@@ -79,6 +79,9 @@
     """Whether a call succeeded since this instance began to read."""
     is_low_priority: bool = False
     """Whether other instances read the store on behalf of this one, so that it can retry slowly."""
+    is_stand_in: bool = False
+    """Whether this instance reads in place of an older one that hears nothing: if that is an outage
+    of the store, all instances of a region may do so one after the other."""
     probe_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
 
     def note_failure(self, kind: str, error: Exception, now: float) -> None:
@@ -87,8 +90,10 @@
         if self.failing_since is None:
             self.failing_since = now
             log.warning("store unreachable", kind=kind, error=str(error))
-        max_pause_s = LOW_PRIORITY_PAUSE_S if self.is_low_priority else MAX_RETRY_PAUSE_S
-        self.pause_s = max_pause_s if self.is_low_priority else min(max_pause_s, self.pause_s * 2)
+        if self.is_low_priority or self.is_stand_in:
+            self.pause_s = LOW_PRIORITY_PAUSE_S
+        else:
+            self.pause_s = min(MAX_RETRY_PAUSE_S, self.pause_s * 2)
 
     def note_success(self, kind: str, now: float) -> None:
         """Record a successful call and reset the retry pause."""
@@ -101,7 +106,7 @@
     @property
     def must_probe(self) -> bool:
         """Whether one call at a time has to show first that the store answers."""
-        return self.is_low_priority and not self.is_verified
+        return (self.is_low_priority or self.is_stand_in) and not self.is_verified
 
 
 class KindWatcher:
--- a/papayalever/routing/replication_tree.py
+++ b/papayalever/routing/replication_tree.py
@@ -75,6 +75,15 @@
         """Whether this instance reads the store."""
         return not self._older_in_region(now)
 
+    def is_oldest_in_region(self, now: float) -> bool:
+        """Whether no instance of the region that answers is older, whatever it hears."""
+        return not any(
+            entry.region == self.own.region
+            and _age_key(entry) < _age_key(self.own)
+            and self._suspect_until.get(entry.name, 0.0) <= now
+            for entry in self.entry_by_name.values()
+        )
+
     def is_oldest(self, now: float) -> bool:
         """Whether no live instance of any region is older."""
         regions = {entry.region for entry in self.entry_by_name.values()}
