entry: answers of servers count and take turns like messages of callers

What callers saw: servers that sent heads of short lines, or held one back, took the process to 371 MB of its 80 (240 callers at eight servers); with chunks of one byte an ordinary request had no answer after 8 s.

Cause: connections to servers had limits of their own, for each connection. A header of five bytes was kept as objects of twenty times its size, heads were not counted, and the parsing of one connection's input had no bound in time.

The fix: a head is a block of bytes until it is delivered, trailers are dropped, and head, body and what the parser may hold count in the one account of messages. Responses of up to 8 KB are kept while any memory is left, those of up to 256 KB while all responses hold at most three quarters. Connections to servers read in the same turns as those of callers.

--- a/papayalever/entry/connection.py
+++ b/papayalever/entry/connection.py
@@ -11,9 +11,11 @@
 from .bodies import Body
 from .clock import now
 from .framing import FramingMeter
+from .header_block import END, SEPARATOR, Headers, unpack_headers
 from .memory import MessageMemory
 from .messages import ServerResponse
 from .outbox import Outbox
+from .turns import ReadCosts, ReadTurns
 
 MAX_RESPONSE_BYTES = 32 * 1024 * 1024
 """Limit on a buffered response body, which `MessageMemory` lowers while other messages are held."""
@@ -68,17 +70,29 @@
         """Whether the server is to blame and not the path to it, None if that is not decided."""
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.BufferedProtocol):
     """Client side of one HTTP connection.
 
     The ``matches`` argument of `send` tells whether a response belongs to the current request: a
     late second response to an earlier request may arrive first and is skipped. The bytes of a
-    response are limited: framing, body, and the bodies of all connections with the same ``memory``.
+    response are limited: framing, body, and what all connections with the same ``memory`` hold.
+    Parsing takes its turn with all connections that have the same ``turns``.
     """
 
-    def __init__(self, memory: MessageMemory | None = None) -> None:
+    def __init__(self, memory: MessageMemory | None = None, turns: ReadTurns | None = None) -> None:
         self._memory = memory or MessageMemory(MAX_RESPONSE_BYTES)
+        self._turns = turns or ReadTurns()
+        self._costs = ReadCosts()
+        self._pause_timer: asyncio.TimerHandle | None = None
+        """Set while reading pauses after input that was expensive to parse."""
+        self._is_expensive = False
+        """Whether the response was expensive to parse so far."""
         self._held_bytes = 0
+        """Memory that is counted for the response."""
+        self._loose_bytes = 0
+        """Received since the last piece of a body; the parser may hold them."""
+        self._has_piece = False
+        """Whether the current read had a piece of a body."""
         self._meter = FramingMeter()
         self._skipped = 0
         self._transport: asyncio.Transport | None = None
@@ -87,7 +101,9 @@
         self._on_head: OnHead | None = None
         self._matches: Callable[[ServerResponse], bool] | None = None
         self._is_head_request = False
-        self._headers: list[tuple[bytes, bytes]] = []
+        self._head = bytearray()
+        """The headers as a block."""
+        self._is_reading_head = False
         self._reason = b""
         self._head_at = 0.0
         self._body = Body()
@@ -114,11 +130,31 @@
         if sock:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
-    def data_received(self, data: bytes) -> None:
-        """Parse received data; unsolicited bytes make the connection unusable."""
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """The buffer for the next read."""
+        return self._turns.choose_buffer(self._is_expensive)
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse what was read; input that was expensive to parse pauses the connection."""
         if self._waiter is None or self._waiter.done():
+            # Unsolicited bytes belong to no request.
             self._mark_unusable()
             return
+        loop, turns = asyncio.get_running_loop(), self._turns
+        started = loop.time()
+        self._feed(turns.buffer[:nbytes])
+        finished = loop.time()
+        if turns.note_cost(finished - started):
+            loop.call_soon(turns.start_turn)
+        pause_s = self._costs.compute_pause(finished - started, turns.paused, finished)
+        if pause_s and self._is_open and self._pause_timer is None:
+            self._is_expensive = True
+            turns.paused += 1
+            self._pause_timer = loop.call_later(pause_s, self._end_pause)
+            self._transport.pause_reading()
+
+    def _feed(self, data: memoryview) -> None:
+        self._has_piece = False
         self._meter.note_received(len(data))
         try:
             self._parser.feed_data(data)
@@ -126,6 +162,29 @@
             self._fail(SendFailure.GARBLED, str(error))
         if self._meter.is_exceeded:
             self._fail(SendFailure.GARBLED, "too many bytes that are not part of a body")
+        self._loose_bytes = 0 if self._has_piece else self._loose_bytes + len(data)
+        if self._waiter and not self._waiter.done():
+            self._hold(len(self._head) + len(self._body) + self._loose_bytes)
+
+    def _hold(self, size: int) -> None:
+        """Count the memory of the response, unless there is no room for it."""
+        self._memory.hold_response(size - self._held_bytes)
+        self._held_bytes = size
+        if len(self._body) > MAX_RESPONSE_BYTES or not self._memory.may_grow(size):
+            self._fail(SendFailure.GARBLED, "the response is too large")
+
+    def _end_pause(self) -> None:
+        if self._pause_timer is None:
+            return
+        self._pause_timer.cancel()
+        self._pause_timer = None
+        self._turns.paused -= 1
+        if self._is_open:
+            self._transport.resume_reading()
+
+    @property
+    def _is_open(self) -> bool:
+        return self._transport is not None and not self._transport.is_closing()
 
     def eof_received(self) -> bool:
         """Complete a response without a length unless a reset follows; others are truncated."""
@@ -142,6 +201,7 @@
         """Fail the pending request."""
         self.is_usable = False
         self._fail(SendFailure.LOST, str(exc or "closed"))
+        self._end_pause()
         self._outbox.clear()
         # The parser refers back to this object, which would wait for the garbage collector.
         self._parser = None
@@ -175,10 +235,10 @@
         if self._waiter is None or self._waiter.done():
             # A second response follows the first.
             self._mark_unusable()
-        self._headers = []
+        self._head = bytearray()
         self._reason = b""
         self._body = Body()
-        self._is_in_response = True
+        self._is_in_response = self._is_reading_head = True
         self._is_body_open_ended = False
 
     def on_status(self, status: bytes) -> None:
@@ -186,25 +246,32 @@
         self._reason += status
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect one header."""
-        self._headers.append((name.lower(), value))
+        """Collect one header; trailers are dropped."""
+        if not self._is_reading_head:
+            return
+        if b"\n" in value or b"\r" in value:
+            self._fail(SendFailure.GARBLED, "a header has a line end in its value")
+            return
+        self._head += name.lower() + SEPARATOR + value + END
 
     def on_headers_complete(self) -> None:
         """Determine how the end of the response is marked."""
         self._head_at = now()
+        self._is_reading_head = False
         status = self._parser.get_status_code()
-        names = {name for name, _ in self._headers}
+        headers = self._unpack_head()
+        names = {name for name, _ in headers}
         if fault := find_status_fault(status, names):
             self._fail(SendFailure.GARBLED, fault)
             return
         has_body = status >= MIN_FINAL_STATUS and status not in (204, 304)
         has_end = b"content-length" in names or b"transfer-encoding" in names
         self._is_body_open_ended = has_body and not has_end
-        for name, value in self._headers:
+        for name, value in headers:
             if name == b"keep-alive":
                 self.idle_limit_s = read_keep_alive(value)
         if self._on_head and status >= MIN_FINAL_STATUS:
-            self._on_head(status, self._headers)
+            self._on_head(status, headers)
         if self._is_head_request:
             self.is_usable = False
             self.on_message_complete()
@@ -213,12 +280,9 @@
         """Collect a chunk of the body."""
         if self._waiter is None or self._waiter.done():
             return
+        self._has_piece = True
         self._body.append(body)
         self._meter.note_body(len(body))
-        self._held_bytes += len(body)
-        self._memory.hold_response(len(body))
-        if len(self._body) > MAX_RESPONSE_BYTES or not self._memory.may_grow(len(self._body)):
-            self._fail(SendFailure.GARBLED, "the response body is too large")
 
     def on_message_complete(self) -> None:
         """Deliver a complete response to the pending request if it matches."""
@@ -234,7 +298,7 @@
         if waiter is None or waiter.done():
             return
         response = ServerResponse(
-            status, self._reason, self._headers, self._body.join(), self._head_at
+            status, self._reason, self._unpack_head(), self._body.join(), self._head_at
         )
         self._body.clear()
         if self._matches is None or self._matches(response):
@@ -271,7 +335,8 @@
         self._is_head_request = is_head
         self.used += 1
         self._meter = FramingMeter()
-        self._skipped = 0
+        self._skipped = self._loose_bytes = 0
+        self._is_expensive = False
         self._outbox.put((data, *(body.pieces() if body else ())))
         is_complete = False
         try:
@@ -284,7 +349,7 @@
         finally:
             # An idle connection keeps nothing of the request and its response.
             self._waiter = self._matches = self._on_head = None
-            self._headers = []
+            self._head = bytearray()
             self._body.clear()
             self._outbox.clear()
             self._release_memory()
@@ -302,6 +367,9 @@
         if self._waiter is None:
             self.close()
 
+    def _unpack_head(self) -> Headers:
+        return unpack_headers(bytes(self._head))
+
     def _release_memory(self) -> None:
         self._memory.hold_response(-self._held_bytes)
         self._held_bytes = 0
@@ -311,24 +379,28 @@
         if failure == SendFailure.GARBLED and self._transport:
             # The peer may go on to send until the connection is closed.
             self._transport.abort()
+            self._head = bytearray()
             self._body.clear()
         if self._waiter and not self._waiter.done():
             self._waiter.set_exception(SendError(failure, detail))
 
 
 async def connect(
-    address: str, timeout_s: float, memory: MessageMemory | None = None
+    address: str,
+    timeout_s: float,
+    memory: MessageMemory | None = None,
+    turns: ReadTurns | None = None,
 ) -> ClientConnection:
     """Open a connection; raises `SendError` with `SendFailure.NOT_CONNECTED`.
 
-    Response bodies count as used in ``memory`` until they are delivered.
+    Responses count as used in ``memory`` until they are delivered, and are parsed in ``turns``.
     """
     loop = asyncio.get_running_loop()
     try:
         host, port = address.rsplit(":", 1)
         async with asyncio.timeout(timeout_s):
             _, protocol = await loop.create_connection(
-                lambda: ClientConnection(memory), host, int(port)
+                lambda: ClientConnection(memory, turns), host, int(port)
             )
     except ConnectionRefusedError as error:
         raise SendError(SendFailure.NOT_CONNECTED, "connection refused", True) from error
--- a/papayalever/entry/instance.py
+++ b/papayalever/entry/instance.py
@@ -121,7 +121,8 @@
         memory = MessageMemory(compute_limit(settings.memory_mb), RESPONSE_SHARE)
         self.metrics = EntryMetrics(self._read_gauges)
         store.on_unreadable = partial(self.metrics.count, "objects_unreadable")
-        pool = ConnectionPool(memory, count_idle_server_places(settings.max_fds))
+        self._turns = ReadTurns()
+        pool = ConnectionPool(memory, count_idle_server_places(settings.max_fds), self._turns)
         paths = PathMonitor(servers, pool, lambda service: self.shared.max_idle(service), rng)
         pool.on_connected = paths.note_connected
         self.shared = SharedState(
@@ -145,7 +146,6 @@
             self._note_refused,
         )
         memory.make_room = self._connections.make_room
-        self._turns = ReadTurns()
         self._trimmer = HeapTrimmer()
         self._listeners: list[asyncio.Server] = []
         self._exchanges: set[Exchange] = set()
@@ -363,7 +363,7 @@
             "view_age_seconds": min(follower.view_origin.age_s, MAX_REPORTED_AGE_S),
             "callers_connected": float(self._connections.count_open(CALLERS)),
             "connections_most": float(self._connections.most_by_listener[CALLERS]),
-            "callers_paused": float(self._turns.paused),
+            "connections_paused": float(self._turns.paused),
             "requests_waiting": float(len(self.permit_broker)),
             "requests_sent": float(sum(item.in_flight for item in servers.server_by_id.values())),
             "message_bytes": float(self.shared.memory.used),
--- a/papayalever/entry/memory.py
+++ b/papayalever/entry/memory.py
@@ -29,6 +29,8 @@
 """Share of it that all requests may fill; the rest is kept for responses."""
 RESPONSE_SHARE = 0.5
 """Share of it that large responses may fill while they arrive."""
+TINY_RESPONSE_BYTES = 8 * 1024
+"""Responses up to this size are kept while any memory is left: the answers of most requests."""
 TRIM_BYTES = 8 * 1024 * 1024
 """Memory that must have been given back since the last time before the allocator is asked to."""
 MARGIN_SHARE = 0.12
@@ -90,9 +92,14 @@
     def _may_keep(self, body_bytes: int) -> bool:
         if self.is_exceeded:
             return False
+        if body_bytes <= TINY_RESPONSE_BYTES:
+            return True
+        if body_bytes <= SMALL_BODY_BYTES:
+            # Halfway between what large responses may fill and all.
+            return self.responses_used <= self.limit * (1 + self.response_share) / 2
         most = self.limit * self.response_share
         free = min(self.limit - self.used, most - self.responses_used) + body_bytes
-        return body_bytes <= SMALL_BODY_BYTES or body_bytes <= free * MAX_SHARE_OF_FREE
+        return body_bytes <= free * MAX_SHARE_OF_FREE
 
 
 def compute_limit(memory_mb: float) -> int:
--- a/papayalever/entry/pool.py
+++ b/papayalever/entry/pool.py
@@ -9,6 +9,7 @@
 from ..sockets import SILENT_S
 from .connection import ClientConnection, connect
 from .memory import MessageMemory
+from .turns import ReadTurns
 
 CONNECT_TIMEOUT_S = 0.45
 """Three round trips between regions; TCP would retransmit a lost SYN only after 1 s."""
@@ -26,8 +27,11 @@
 class ConnectionPool:
     """Idle connections by server id, reused in LIFO order."""
 
-    def __init__(self, memory: MessageMemory, max_idle: int) -> None:
+    def __init__(
+        self, memory: MessageMemory, max_idle: int, turns: ReadTurns | None = None
+    ) -> None:
         self._memory = memory
+        self._turns = turns or ReadTurns()
         self._max_idle = max_idle
         """Idle connections to all servers together."""
         self.on_connected: Callable[[], None] = lambda: None
@@ -86,7 +90,7 @@
     async def open(self, server: ServerEntry) -> ClientConnection:
         """Open a new connection; raises `SendError`."""
         self.opened += 1
-        connection = await connect(server.address, CONNECT_TIMEOUT_S, self._memory)
+        connection = await connect(server.address, CONNECT_TIMEOUT_S, self._memory, self._turns)
         self.on_connected()
         return connection
 
--- a/papayalever/entry/turns.py
+++ b/papayalever/entry/turns.py
@@ -1,14 +1,14 @@
-"""Shares the processor between callers whose input is expensive to parse and all others.
+"""Shares the processor between connections whose input is expensive to parse and all others.
 
 Load pattern: bodies in chunks of one byte, or heads of thousands of lines, take the processor for
-milliseconds with each read, on many connections at a time. Requests of others wait meanwhile, and
-connections to servers seem to time out.
+milliseconds with each read, on many connections at a time, to callers or to servers. Requests of
+others wait meanwhile, and connections to servers seem to time out.
 """
 
 from dataclasses import dataclass, field
 
 READ_BYTES = 32 * 1024
-"""Most that is read from one caller's connection at a turn of the event loop."""
+"""Most that is read from one connection at a turn of the event loop."""
 SMALL_READ_BYTES = 2 * 1024
 """Most that is read once a turn has taken `TURN_S`; most requests without a body have less."""
 TINY_READ_BYTES = 128
