entry: what parsing an answer costs is processor time, not time by the clock

Answers of 1 MB are read in 32 turns, and a read that other programs interrupted counts as expensive, so that the connection pauses and its server stays busy.

--- a/papayalever/entry/connection.py
+++ b/papayalever/entry/connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 from collections.abc import Callable, Container
 from enum import StrEnum, auto
 
@@ -141,12 +142,12 @@
             self._mark_unusable()
             return
         loop, turns = asyncio.get_running_loop(), self._turns
-        started = loop.time()
+        started = time.thread_time()
         self._feed(turns.buffer[:nbytes])
-        finished = loop.time()
-        if turns.note_cost(finished - started):
+        cost_s = time.thread_time() - started
+        if turns.note_cost(cost_s):
             loop.call_soon(turns.start_turn)
-        pause_s = self._costs.compute_pause(finished - started, turns.paused, finished)
+        pause_s = self._costs.compute_pause(cost_s, turns.paused, loop.time())
         if pause_s and self._is_open and self._pause_timer is None:
             self._is_expensive = True
             turns.paused += 1
--- a/papayalever/platform/documents.py
+++ b/papayalever/platform/documents.py
@@ -45,7 +45,7 @@
 
 
 class StoredObject(msgspec.Struct):
-    """One object; ``spec`` stays encoded for the code that knows its kind."""
+    """One object; ``spec`` stays encoded for the reader of its kind."""
 
     metadata: Metadata
     spec: msgspec.Raw = msgspec.Raw(b"null")
