watcher: an outage that one kind has shown counts for all kinds

Cause: since such instances read early in an outage, and since one kind at a time calls the store until it answers. Only that kind knew of the outage; the others went on with a watch, which brings the lapsed entries as removals.

--- a/papayalever/entry/watcher.py
+++ b/papayalever/entry/watcher.py
@@ -82,6 +82,9 @@
     is_stand_in: bool = False
     """Whether this instance reads in place of an older one that hears nothing: if that is an outage
     of the store, all instances of a region may do so one after the other."""
+    outages: int = 0
+    """Outages of over `MIN_OUTAGE_S` that have ended; one call at a time showed them, so that most
+    kinds did not fail themselves."""
     probe_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
 
     def note_failure(self, kind: str, error: Exception, now: float) -> None:
@@ -95,8 +98,14 @@
         else:
             self.pause_s = min(MAX_RETRY_PAUSE_S, self.pause_s * 2)
 
-    def note_success(self, kind: str, now: float) -> None:
+    def compute_outage_s(self, view_age_s: float, now: float) -> float:
+        """How long the store is away, 0 if it is not; an instance may have read for a part only."""
+        return 0.0 if self.failing_since is None else max(now - self.failing_since, view_age_s)
+
+    def note_success(self, kind: str, view_age_s: float, now: float) -> None:
         """Record a successful call and reset the retry pause."""
+        if self.compute_outage_s(view_age_s, now) > MIN_OUTAGE_S:
+            self.outages += 1
         if self.failing_since is not None:
             log.info("store reachable again", kind=kind, away_s=round(now - self.failing_since, 3))
         self.failing_since = None
@@ -137,6 +146,8 @@
         self._health = health
         self._rng = rng
         self._failing_since: float | None = None
+        self._known_outages = 0
+        """Outages of the store that the objects read here reflect."""
         self._is_history_expired = False
 
     @property
@@ -146,6 +157,7 @@
 
     async def run(self) -> None:
         """List and watch the kind until cancelled."""
+        self._known_outages = self._health.outages
         try:
             while True:
                 if self._failing_since is None and not self._health.must_probe:
@@ -177,7 +189,18 @@
         started, wait_s = loop.time(), 0.0
         known = self._cache.position(self.kind)
         is_other_era = era_of(known) < self._cache.era
-        is_snapshot = known == NEVER_READ or self._is_history_expired or is_other_era or is_probe
+        view_age_s = self._read_age_s()
+        is_after_outage = (
+            self._health.outages > self._known_outages
+            or self._health.compute_outage_s(view_age_s, started) > MIN_OUTAGE_S
+        )
+        is_snapshot = (
+            known == NEVER_READ
+            or self._is_history_expired
+            or is_other_era
+            or is_probe
+            or is_after_outage
+        )
         try:
             if is_snapshot:
                 result = await self._store.list_all(self.kind)
@@ -199,19 +222,18 @@
             self._failing_since = self._failing_since or loop.time()
             self._health.note_failure(self.kind, error, loop.time())
             return False
-        outage_s = 0.0
         if self._failing_since is not None:
-            outage_s = max(loop.time() - self._failing_since, self._read_age_s())
+            outage_s = max(loop.time() - self._failing_since, view_age_s)
+            is_after_outage = is_after_outage or outage_s > MIN_OUTAGE_S
         # An answer that was waiting while the process was stopped is older than its arrival.
         self._answered_at = min(loop.time(), started + wait_s)
-        self._health.note_success(self.kind, loop.time())
+        self._health.note_success(self.kind, view_age_s, loop.time())
+        self._known_outages = self._health.outages
         self._failing_since = None
         self._is_history_expired = False
         self.is_connected = True
         self._cache.apply(
-            KindUpdate(
-                self.kind, result.position, is_snapshot, result.changes, outage_s > MIN_OUTAGE_S
-            ),
+            KindUpdate(self.kind, result.position, is_snapshot, result.changes, is_after_outage),
             loop.time(),
         )
         return is_snapshot or bool(result.changes)
