follower: an instance whose own calls fail follows its reader again

The fix: once a call of its own has failed, an instance no longer skips others for what they have not heard, and follows the first that hears from the store, as before. A stand-in whose calls are answered goes on as in.

--- a/papayalever/entry/follower.py
+++ b/papayalever/entry/follower.py
@@ -138,6 +138,9 @@
             else:
                 self._start_reading()
             while True:
+                if self.health.failing_since is not None:
+                    # The store is away here, too: its readers will hear from it first.
+                    self.tree.clear_outdated()
                 is_reader = self.tree.is_reader(now())
                 is_complete = self._cache.is_complete
                 self.health.is_low_priority = not is_reader and is_complete
@@ -344,7 +347,8 @@
         if reply.is_current:
             self._note_current(reply.age_ms / 1000)
             return True
-        if reply.age_ms / 1000 >= self._freshness.silent_s:
+        is_outdated = reply.age_ms / 1000 >= self._freshness.silent_s
+        if is_outdated and self.health.failing_since is None:
             self.tree.mark_outdated(sender.name, now())
             log.info("relay hears nothing from the store", relay=sender.name, age_ms=reply.age_ms)
         return False
--- a/papayalever/routing/replication_tree.py
+++ b/papayalever/routing/replication_tree.py
@@ -61,6 +61,10 @@
         """Skip an instance for `SUSPECT_S` because it hears nothing from the store."""
         self._outdated_until[name] = now + SUSPECT_S
 
+    def clear_outdated(self) -> None:
+        """Use the instances again that hear nothing from the store."""
+        self._outdated_until.clear()
+
     def note_start(self, name: str, started_ms: int) -> None:
         """Set the start time that an instance reported; its entry may be from an earlier run."""
         entry = self.entry_by_name.get(name)
