--- a/papayalever/entry/follower.py
+++ b/papayalever/entry/follower.py
@@ -139,7 +139,7 @@
                 self._start_reading()
             while True:
                 if self.health.failing_since is not None:
-                    # The store is away here, too: its readers will hear from it first.
+                    # An outage of the store: its usual readers retry sooner than this instance.
                     self.tree.clear_outdated()
                 is_reader = self.tree.is_reader(now())
                 is_complete = self._cache.is_complete
