--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,97 +1,106 @@
-"""An upstream crashes and starts again, cold, under the id that it had, while the store is away."""
+"""A request that crashes each upstream that begins to run it comes again and again."""
 
 import asyncio
 import sys
+import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common-3"))
-from deployment import (  # noqa: E402
-    COLD_OVER,
-    COLD_PER_S,
-    COLD_SLACK,
-    Caller,
-    Deployment,
-    configuration,
-    route,
-    run_case,
-)
+from deployment import CONTACT_S, Caller, Deployment, configuration, route, run_case  # noqa: E402
 
 SERVICE = "tienda"
-CALLERS = 22
-"""Callers at each machine."""
-PAUSE_S = 0.8
-STORE_AWAY_S = 8.0
+POISON = "/order/9b41c7"
+BODY = b'{"laptop": "9b41c7", "quantity": -1}'
+COMES_AGAIN_S = 3.2
+LOOKS, LOOKS_S = 2, 0.3
+"""Pages that the caller looks at before it orders, over the same machine, and time for each."""
 DOWN_S = 2.5
+TIMES = 16
+MOST_RETRIES = 3
 
 
 async def browse(deployment: Deployment, address: str, number: int) -> None:
+    """Other callers: about a page a second through one machine."""
     caller = Caller(address)
-    await asyncio.sleep(PAUSE_S * (number % CALLERS) / CALLERS)
     for step in range(1_000_000):
-        key = str((number * 5 + step * 7) % 38)
-        answer, _ = await asyncio.gather(
-            caller.ask("GET", f"/catalog/{key}/{number:x}{step:x}", deployment.new_id(), key),
-            asyncio.sleep(PAUSE_S),
-        )
-        if answer.status == 503:
-            wait_s = float(answer.headers.get("retry-after", "0"))
-            await asyncio.sleep(min(wait_s, 0.8))
+        await asyncio.sleep(0.9)
+        key = str(100 + (number * 7 + step * 3) % 24)
+        await caller.ask("GET", f"/catalog/{key}/{step:x}", deployment.new_id(), key)
+
+
+async def restart_crashed(deployment: Deployment) -> None:
+    """Each upstream that has crashed is back after some seconds, as a new one."""
+    starts = 0
+    while True:
+        await asyncio.sleep(0.05)
+        for server in deployment.servers:
+            if server.process.poll() is not None and not server.is_down:
+                server.is_down = True
+                deployment.note(f"upstream {server.id} has ended")
+                starts += 1
+                asyncio.get_running_loop().call_later(DOWN_S, restart, deployment, server, starts)
+
+
+def restart(deployment: Deployment, server, number: int) -> None:
+    server.id = f"i-{0x9000 + number:08x}"
+    deployment.start_server(server, "--cold-s", "3.0")
+    server.is_down = False
 
 
 async def main(deployment: Deployment, has_trouble: bool) -> bool:
-    routes = [route("r-catalog", "/catalog/", "safe", SERVICE)]
+    routes = [
+        route("r-catalog", "/catalog/", "safe", SERVICE),
+        route("r-order", "/order/", "unsafe", SERVICE),
+    ]
     deployment.store.put("config", "main", configuration(routes, [SERVICE]))
-    zones = ("cdmx-a", "cdmx-b")
-    for zone in zones * 2:
-        server = deployment.add_server(zone, SERVICE, "--run-s", "0.06")
+    crash = ("--crash", POISON) if has_trouble else ()
+    for zone in ("cdmx-a", "cdmx-b", "cdmx-a", "cdmx-b"):
+        server = deployment.add_server(zone, SERVICE, "--run-s", "0.03", *crash)
+        server.is_down = False
         deployment.start_server(server)
-    for zone in zones * 2:
+    for zone in ("cdmx-a", "cdmx-b") * 4:
         deployment.add_machine(zone)
     for machine in deployment.machines:
         deployment.start_machine(machine)
     await deployment.wait_ready()
-    tasks = [
-        asyncio.create_task(browse(deployment, machine.front, index * CALLERS + number))
-        for index, machine in enumerate(deployment.machines)
-        for number in range(CALLERS)
-    ]
-    await asyncio.sleep(8.0)
-    server = deployment.servers[0]
-    if has_trouble:
-        deployment.store.is_busy = True
-        deployment.store.wake()
-        deployment.note("the store answers 503")
-        await asyncio.sleep(0.5)
-        server.process.kill()
-        deployment.note(f"upstream {server.id} crashed")
-        await asyncio.sleep(DOWN_S)
-        deployment.start_server(server, "--cold-s", "3.0")
-        await asyncio.sleep(STORE_AWAY_S - 0.5 - DOWN_S)
-        deployment.store.is_busy = False
-        deployment.note("the store answers again")
-    else:
-        await asyncio.sleep(STORE_AWAY_S)
+    tasks = [asyncio.create_task(restart_crashed(deployment))]
+    for number, machine in enumerate(deployment.machines):
+        tasks.append(asyncio.create_task(browse(deployment, machine.front, number)))
     await asyncio.sleep(3.0)
+    for turn in range(TIMES):
+        machine = deployment.machines[turn % len(deployment.machines)]
+        caller, began = Caller(machine.front), time.monotonic()
+        for page in range(LOOKS):
+            target = f"/catalog/17/{turn:x}{page}"
+            look = await caller.ask("GET", target, deployment.new_id(), "17")
+            await asyncio.sleep(LOOKS_S)
+        order = await caller.ask("POST", POISON, deployment.new_id(), "17", BODY)
+        caller.close()
+        deployment.note(f"caller: look {look.status}, order {order.status} at {machine.name}")
+        await asyncio.sleep(max(0.0, COMES_AGAIN_S - (time.monotonic() - began)))
     for task in tasks:
         task.cancel()
     return judge(deployment)
 
 
 def judge(deployment: Deployment) -> bool:
-    """FAILBACK: requests that a cold upstream gets in one second."""
-    most = COLD_PER_S * COLD_OVER + COLD_SLACK
-    worst = 0
-    for server in deployment.servers:
-        cold = [
-            event["t"]
-            for event in deployment.events
-            if event["e"] == "arrive" and event["server"] == server.id and event["cold"]
-        ]
-        counts = [sum(1 for other in cold if at <= other < at + 1.0) for at in cold]
-        worst = max([worst, *counts])
-    deployment.note(f"at most {worst} requests in a second at a cold upstream, {most:.2f} allowed")
-    print(f"{worst} in a second, {most:.2f} allowed")
-    return worst <= most
+    """BUDGET: at most three retries later than contact_ms after the third crash."""
+    crashed_at = [event["t"] for event in deployment.events if event["e"] == "crash"]
+    arrived_at = [
+        event["t"]
+        for event in deployment.events
+        if event["e"] == "arrive" and event["target"] == POISON
+    ]
+    late = []
+    if len(crashed_at) >= MOST_RETRIES:
+        late = [at for at in arrived_at if at > crashed_at[2] + CONTACT_S]
+    has_held = not crashed_at or len(late) <= MOST_RETRIES
+    deployment.note(
+        f"{len(arrived_at)} times the request reached an upstream, {len(crashed_at)} crashed, "
+        f"{len(late)} arrivals later than {CONTACT_S:g} s after the third crash"
+    )
+    print(f"{len(crashed_at)} crashes, {len(late)} late retries")
+    return has_held
 
 
 run_case(main)
