--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -24,7 +24,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 HERE = Path(__file__).resolve().parent
-ZONES = {"cdmx-a": "cdmx", "cdmx-b": "cdmx"}
+ZONES = {"cdmx-a": "cdmx", "cdmx-b": "cdmx", "gdl-a": "gdl"}
 HOST = "ficu95.example"
 BOUNDS = (
     "seed_lag_s=3,reuse_after_s=2,contact_ms=3000,ack_ms=4000,catch_up_s=4,drain_ms=2000,"
@@ -67,6 +67,8 @@
         self.is_busy = False
         """Whether it answers every call with 503."""
         self.is_stopped = False
+        self.software = "v1"
+        """Version of the software that the upstreams name."""
         self._changed = asyncio.Event()
         self._tasks: list[asyncio.Task] = []
 
@@ -74,6 +76,15 @@
         await asyncio.start_server(self._enter, host, port)
         self._tasks.append(asyncio.create_task(self._expire()))
 
+    async def start_view(self, address: str, address_by_real: dict[str, str]) -> None:
+        """Serve machines that reach each upstream over a path of their own."""
+
+        def enter(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            self._enter(reader, writer, address_by_real)
+
+        host, port = address.split(":")
+        await asyncio.start_server(enter, host, int(port))
+
     async def _expire(self) -> None:
         while True:
             await asyncio.sleep(0.2)
@@ -91,8 +102,10 @@
     def put(self, kind: str, name: str, spec) -> Stored:
         if kind == "servers":
             self.renewed_at[name] = time.monotonic()
+            spec = spec | {"version": self.software}
         known = self.object_by_key.get((kind, name))
-        if known and known.spec == spec:
+        # A heartbeat that only counts on is no change of an upstream's entry.
+        if known and known.spec | {"sequence": 0} == spec | {"sequence": 0}:
             return known
         self.revision += 1
         metadata = {"name": name, "revision": self.revision}
@@ -102,6 +115,13 @@
         self._note(kind, item, False)
         return item
 
+    def renew_servers(self) -> None:
+        """Change the entries of all upstreams at once, so that every reader hears of it itself."""
+        self.software = "v2"
+        for (kind, name), item in list(self.object_by_key.items()):
+            if kind == "servers":
+                self.put(kind, name, item.spec)
+
     def delete(self, kind: str, name: str) -> bool:
         item = self.object_by_key.pop((kind, name), None)
         if item is None:
@@ -125,16 +145,28 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    def _enter(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    def _enter(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        address_by_real: dict[str, str] | None = None,
+    ) -> None:
         self._tasks = [task for task in self._tasks if not task.done()]
-        self._tasks.append(asyncio.create_task(self._serve(reader, writer)))
+        self._tasks.append(asyncio.create_task(self._serve(reader, writer, address_by_real or {})))
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        address_by_real: dict[str, str],
+    ) -> None:
         with suppress(ConnectionError, asyncio.IncompleteReadError, ValueError):
             while not self.is_stopped:
                 first, _, body = await read_message(reader)
                 method, target, _ = first.split(" ")
                 status, text = await self._answer(method, target, body)
+                for real, address in address_by_real.items():
+                    text = text.replace(f'"{real}"', f'"{address}"')
                 data = text.encode()
                 head = f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
                 head += f"Store-Era: 1\r\nContent-Length: {len(data)}\r\n\r\n"
@@ -239,6 +271,8 @@
     name: str
     ip: str
     zone: str
+    store: str = ""
+    """Address of the store for this machine, if it is not that for all."""
     process: subprocess.Popen | None = None
 
     @property
@@ -274,6 +308,8 @@
         self.address = address
         self.reader: asyncio.StreamReader | None = None
         self.writer: asyncio.StreamWriter | None = None
+        self.was_closed = False
+        """Whether the other side ended the connection of the last request without an answer."""
 
     async def ask(
         self,
@@ -295,7 +331,8 @@
                 head += f"Content-Length: {len(body)}\r\n" if method != "GET" else ""
                 self.writer.write(f"{head}\r\n".encode() + body)
                 first, headers, answer = await read_message(self.reader)
-        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+        except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
+            self.was_closed = not isinstance(error, TimeoutError)
             self.close()
             return Answer(0, {}, b"")
         if headers.get("connection", "").lower() == "close":
@@ -317,7 +354,8 @@
         self.store = Store()
         self.store_address = f"{self.net}.1:8142"
         self.memory_mb = 222
-        self.seeds: list[Machine] = []
+        self.seeds: list[Machine] | None = None
+        """Those that the settings name, if they are not the first machines."""
         self.machines: list[Machine] = []
         self.servers: list[Server] = []
         self.events: list[dict] = []
@@ -368,7 +406,8 @@
         return machine
 
     def settings(self, machine: Machine) -> str:
-        seeds = ",".join(f"{item.ip}:8146" for item in self.seeds or self.machines[:3])
+        known = self.machines[:3] if self.seeds is None else self.seeds
+        seeds = ",".join(f"{item.ip}:8146" for item in known)
         zones = "".join(f"zones.{zone}={region}\n" for zone, region in ZONES.items())
         return (
             f"node_name={machine.name}\nrole=entry\nmachine_class=edge\n"
@@ -380,7 +419,7 @@
             f"limits.memory_mb={self.memory_mb}\n"
             "limits.max_fds=2870\nlimits.link_mbps=700.0\nlimits.disk_mb=0\ndiscovery=platform\n"
             "entry=directory\nheartbeat_ms=1500\n"
-            f"bounds={BOUNDS}\nprovider.address={self.store_address}\nprovider.form=objects\n"
+            f"bounds={BOUNDS}\nprovider.address={machine.store or self.store_address}\nprovider.form=objects\n"
             "provider.writes_per_s=400\nprovider.reads_per_s=2000\nprovider.history_s=20\n"
             "provider.value_bytes=1048576\n"
         )
@@ -456,6 +495,69 @@
         return ready.status == 200 and machine.front.encode() in listed.body
 
 
+class ServerPath:
+    """The path from a region's machines to one upstream: a proxy that can be cut."""
+
+    def __init__(self, address: str, target: str) -> None:
+        self.address, self.target = address, target
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task] = set()
+
+    async def open(self) -> None:
+        host, port = self.address.split(":")
+        self._server = await asyncio.start_server(self._enter, host, int(port))
+
+    def cut(self) -> None:
+        """Reset open connections and refuse new ones."""
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def _enter(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.create_task(self._serve(reader, writer))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        host, port = self.target.split(":")
+        try:
+            other_reader, other_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        pair = {writer, other_writer}
+        self._writers |= pair
+        await asyncio.gather(_pipe(reader, other_writer), self._pipe_back(other_reader, writer))
+        self._writers -= pair
+
+    async def _pipe_back(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await _copy(reader, writer)
+        await self._follow_target()
+        writer.close()
+
+    async def _follow_target(self) -> None:
+        """Refuse connections as soon as the upstream does, before its end is passed on."""
+        host, port = self.target.split(":")
+        try:
+            _, writer = await asyncio.open_connection(host, int(port))
+            writer.close()
+        except OSError:
+            self._server.close()
+
+
+async def _copy(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    with suppress(ConnectionError):
+        while data := await reader.read(65536):
+            writer.write(data)
+            await writer.drain()
+
+
+async def _pipe(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    await _copy(reader, writer)
+    writer.close()
+
+
 def check_ports(net: str) -> None:
     """Raise `CannotRunError` unless the addresses of the deployment are free."""
     with socket.socket() as probe:
