--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -361,6 +361,8 @@
         self.events: list[dict] = []
         self.folder = tempfile.TemporaryDirectory()
         self.began = time.monotonic()
+        self.is_over = False
+        """Whether no process may be started any more."""
         self._ips = itertools.count(10)
         self._ids = itertools.count(1)
         self._readers: list[asyncio.Task] = []
@@ -373,6 +375,7 @@
         return self
 
     async def __aexit__(self, *_) -> None:
+        self.is_over = True
         for process in self._processes:
             if process.poll() is None:
                 with suppress(ProcessLookupError):
@@ -433,6 +436,8 @@
         return path
 
     def start_machine(self, machine: Machine) -> None:
+        if self.is_over:
+            return
         path = self.write_settings(machine)
         environment = {
             "PATH": os.environ.get("PATH", ""),
@@ -460,6 +465,8 @@
         return server
 
     def start_server(self, server: Server, *options: str) -> None:
+        if self.is_over:
+            return
         command = [sys.executable, str(HERE / "upstream.py"), "--id", server.id]
         command += ["--address", server.address, "--zone", server.zone]
         command += ["--service", server.service, "--store", self.store_address]
