--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -15,6 +15,7 @@
 import sys
 import tempfile
 import time
+import traceback
 import urllib.parse
 from contextlib import suppress
 from dataclasses import dataclass, field, replace
@@ -590,8 +591,12 @@
     except asyncio.CancelledError:
         print("the case was ended before it was over")
         sys.exit(2)
-    except (CannotRunError, OSError) as error:
+    except CannotRunError as error:
         print(f"the case could not run: {error}")
         sys.exit(2)
+    except Exception:
+        traceback.print_exc()
+        print("the case could not run: a fault of the script")
+        sys.exit(2)
     print("the rule held" if has_held else "the rule was broken")
     sys.exit(0 if has_held else 1)
