--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,6 +1,7 @@
 """A request that crashes upstreams comes to a machine that sends through another one."""
 
 import asyncio
+import os
 import sys
 import time
 from pathlib import Path
@@ -16,6 +17,9 @@
     run_case,
 )
 
+TROUBLE = os.environ.get("TROUBLE", "1")
+HAS_CRASHES, HAS_CUT = TROUBLE != "0", TROUBLE not in ("0", "part")
+"""With TROUBLE=part the order crashes upstreams, and no machine is cut off."""
 SERVICE = "tienda"
 UPSTREAMS = 14
 CUT_MACHINES, OTHER_MACHINES = 2, 2
@@ -92,20 +96,21 @@
         route("r-order", "/order/", "unsafe", SERVICE),
     ]
     deployment.store.put("config", "main", configuration(routes, [SERVICE]))
-    crash = ("--crash", POISON, "--crash-after", str(CRASHES_AFTER_S))
+    crash = ("--crash", POISON, "--crash-after", str(CRASHES_AFTER_S)) if HAS_CRASHES else ()
     for number in range(UPSTREAMS):
         zone = ("cdmx-a", "gdl-a")[number % 2]
         deployment.start_server(deployment.add_server(zone, SERVICE, "--run-s", "0.05", *crash))
     paths = []
     for server in deployment.servers:
-        path = ServerPath(server.address.replace(":8080", ":9080"), server.address)
+        path = ServerPath(deployment.path_address(server), server.address)
         await path.open()
         paths.append(path)
-    zone_store = f"{deployment.net}.1:8200"
-    await deployment.store.start_view(zone_store, {path.target: path.address for path in paths})
+    await deployment.store.start_view(
+        deployment.zone_store, {path.target: path.address for path in paths}
+    )
     for number in range(CUT_MACHINES + OTHER_MACHINES):
         machine = deployment.add_machine("gdl-a" if number < CUT_MACHINES else "cdmx-a")
-        machine.store = zone_store if number < CUT_MACHINES else ""
+        machine.store = deployment.zone_store if number < CUT_MACHINES else ""
     for machine in deployment.machines:
         deployment.start_machine(machine)
     await deployment.wait_ready()
@@ -116,13 +121,13 @@
     return paths
 
 
-async def main(deployment: Deployment, has_trouble: bool) -> bool:
+async def main(deployment: Deployment) -> bool:
     upstreams = Upstreams(deployment, await start(deployment))
     tasks = [asyncio.create_task(upstreams.run())]
     for number, machine in enumerate(deployment.machines):
         tasks.append(asyncio.create_task(browse(deployment, machine.front, number)))
     await asyncio.sleep(3.0)
-    if has_trouble:
+    if HAS_CUT:
         deployment.note("the zone gdl-a is cut off from all upstreams")
         upstreams.cut()
     cut_at = time.monotonic()
@@ -136,7 +141,7 @@
         deployment.note(f"caller: order {order.status} at {machine.name}")
         await asyncio.sleep(max(0.0, COMES_AGAIN_S - (time.monotonic() - began)))
     await asyncio.sleep(max(0.0, CUT_S - (time.monotonic() - cut_at)))
-    if has_trouble:
+    if HAS_CUT:
         deployment.note("the zone reaches them again")
         await upstreams.heal()
     await asyncio.sleep(2.0)
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,6 +1,7 @@
 """Settings files change while upstreams turn requests away: the retry budget begins anew."""
 
 import asyncio
+import os
 import signal
 import sys
 import time
@@ -10,6 +11,9 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common-3"))
 from deployment import Caller, Deployment, configuration, route, run_case  # noqa: E402
 
+TROUBLE = os.environ.get("TROUBLE", "1")
+HAS_REFUSALS, HAS_CHANGES = TROUBLE != "0", TROUBLE not in ("0", "part")
+"""With TROUBLE=part upstreams turn requests away, and no settings change."""
 SERVICE = "bodega"
 MACHINES, UPSTREAMS = 10, 4
 CALLERS, PAUSE_S = 8, 1.0
@@ -45,11 +49,18 @@
         await asyncio.sleep(HUP_GAP_S)
 
 
-async def main(deployment: Deployment, has_trouble: bool) -> bool:
+async def main(deployment: Deployment) -> bool:
     routes = [route("r-sync", "/sync/", "safe", SERVICE)]
     deployment.store.put("config", "main", configuration(routes, [SERVICE]))
     shed_from = time.monotonic() + 20.0
-    shed = ("--shed", str(SHED), "--shed-from", str(shed_from), "--shed-s", str(SHED_S))
+    shed = (
+        "--shed",
+        str(SHED if HAS_REFUSALS else 0.0),
+        "--shed-from",
+        str(shed_from),
+        "--shed-s",
+        str(SHED_S),
+    )
     zones = ("cdmx-a", "cdmx-b")
     for number in range(UPSTREAMS):
         deployment.start_server(
@@ -68,7 +79,7 @@
     ]
     await asyncio.sleep(shed_from - time.monotonic())
     deployment.note("upstreams turn requests away")
-    if has_trouble:
+    if HAS_CHANGES:
         tasks.append(asyncio.create_task(change_settings(deployment)))
     await asyncio.sleep(SHED_S + 4.0)
     for task in tasks:
--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -36,6 +36,8 @@
 """The bounds of the site file tlaloc-gslb."""
 CONTACT_S = 3.0
 HISTORY_S = 20.0
+METRICS_PORT = 9464
+"""The program listens there on the machine's address, as the deploy file says."""
 PAGE = 500
 """Objects of a page of a list."""
 COLD_PER_S, COLD_OVER, COLD_SLACK = 6.9, 1.5, 5.0
@@ -272,13 +274,18 @@
     name: str
     ip: str
     zone: str
+    ports: dict[str, int]
     store: str = ""
     """Address of the store for this machine, if it is not that for all."""
     process: subprocess.Popen | None = None
 
     @property
     def front(self) -> str:
-        return f"{self.ip}:8144"
+        return self.address("front")
+
+    def address(self, listener: str) -> str:
+        """Address of one of the machine's listeners."""
+        return f"{self.ip}:{self.ports[listener]}"
 
 
 @dataclass
@@ -353,7 +360,10 @@
         self.record_path = record
         self.net = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}"
         self.store = Store()
-        self.store_address = f"{self.net}.1:8142"
+        self.ports = find_ports()
+        self.store_address = f"{self.net}.1:{self.ports['store']}"
+        self.zone_store = f"{self.net}.1:{self.ports['zone store']}"
+        """Address of the store for the machines of a zone that can be cut off."""
         self.memory_mb = 222
         self.seeds: list[Machine] | None = None
         """Those that the settings name, if they are not the first machines."""
@@ -405,25 +415,27 @@
 
     def add_machine(self, zone: str) -> Machine:
         number = next(self._ips)
-        machine = Machine(f"edge-{zone}-{number}", f"{self.net}.{number}", zone)
+        machine = Machine(f"edge-{zone}-{number}", f"{self.net}.{number}", zone, self.ports)
         self.machines.append(machine)
         return machine
 
     def settings(self, machine: Machine) -> str:
         known = self.machines[:3] if self.seeds is None else self.seeds
-        seeds = ",".join(f"{item.ip}:8146" for item in known)
+        seeds = ",".join(item.address("control") for item in known)
         zones = "".join(f"zones.{zone}={region}\n" for zone, region in ZONES.items())
         return (
             f"node_name={machine.name}\nrole=entry\nmachine_class=edge\n"
             f"serves=edge,directory,control_plane\nip={machine.ip}\nzone={machine.zone}\n"
-            f"region={ZONES[machine.zone]}\n{zones}listen.front={machine.ip}:8144\n"
-            f"listen.ready={machine.ip}:8140\nlisten.control={machine.ip}:8146\n"
-            f"listen.directory={machine.ip}:8143\ninternal_ports=7660,7675\nseeds={seeds}\n"
+            f"region={ZONES[machine.zone]}\n{zones}listen.front={machine.front}\n"
+            f"listen.ready={machine.address('ready')}\n"
+            f"listen.control={machine.address('control')}\n"
+            f"listen.directory={machine.address('directory')}\ninternal_ports=7660,7675\nseeds={seeds}\n"
             "bootstrap=true\nlimits.cpu_share=0.602\nlimits.cores=1\n"
             f"limits.memory_mb={self.memory_mb}\n"
             "limits.max_fds=2870\nlimits.link_mbps=700.0\nlimits.disk_mb=0\ndiscovery=platform\n"
             "entry=directory\nheartbeat_ms=1500\n"
-            f"bounds={BOUNDS}\nprovider.address={machine.store or self.store_address}\nprovider.form=objects\n"
+            f"bounds={BOUNDS}\nprovider.address={machine.store or self.store_address}\n"
+            "provider.form=objects\n"
             "provider.writes_per_s=400\nprovider.reads_per_s=2000\nprovider.history_s=20\n"
             "provider.value_bytes=1048576\n"
         )
@@ -460,11 +472,17 @@
 
     def add_server(self, zone: str, service: str, *options: str) -> Server:
         number = next(self._ips)
-        server = Server(f"i-{number:08x}", f"{self.net}.{number}:8080", zone, service)
+        server = Server(
+            f"i-{number:08x}", f"{self.net}.{number}:{self.ports['server']}", zone, service
+        )
         server.options = list(options)
         self.servers.append(server)
         return server
 
+    def path_address(self, server: Server) -> str:
+        """Address of the proxy that is a zone's way to an upstream."""
+        return f"{server.address.split(':')[0]}:{self.ports['path']}"
+
     def start_server(self, server: Server, *options: str) -> None:
         if self.is_over:
             return
@@ -497,9 +515,9 @@
         await asyncio.sleep(1.0)
 
     async def _is_ready(self, machine: Machine) -> bool:
-        ready = await Caller(f"{machine.ip}:8140").ask("GET", "/readyz", "")
+        ready = await Caller(machine.address("ready")).ask("GET", "/readyz", "")
         target = f"/resolve?name={HOST}&region={ZONES[machine.zone]}&zone={machine.zone}"
-        listed = await Caller(f"{machine.ip}:8143").ask("GET", target, "")
+        listed = await Caller(machine.address("directory")).ask("GET", target, "")
         return ready.status == 200 and machine.front.encode() in listed.body
 
 
@@ -566,25 +584,37 @@
     writer.close()
 
 
-def check_ports(net: str) -> None:
-    """Raise `CannotRunError` unless the addresses of the deployment are free."""
+def find_ports() -> dict[str, int]:
+    """A free port for each purpose, below those that the system gives to outgoing connections."""
+    names = ("store", "zone store", "front", "ready", "control", "directory", "server", "path")
+    found: list[int] = []
+    for port in random.sample(range(20_000, 32_000), 2_000):
+        if len(found) < len(names) and is_free(port):
+            found.append(port)
+    if len(found) < len(names) or not is_free(METRICS_PORT):
+        raise CannotRunError("there are not enough free ports")
+    return dict(zip(names, found, strict=True))
+
+
+def is_free(port: int) -> bool:
     with socket.socket() as probe:
-        if probe.connect_ex((f"{net}.1", 8142)) == 0:
-            raise CannotRunError("the addresses are in use")
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
 
 
 def run_case(main) -> None:
     """Run a case's coroutine function of a deployment; it returns whether the rule held."""
     record = Path(sys.argv[1])
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run() -> bool:
         task = asyncio.current_task()
         asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
-        deployment = Deployment(record)
-        check_ports(deployment.net)
-        async with deployment:
-            return await main(deployment, has_trouble)
+        async with Deployment(record) as deployment:
+            return await main(deployment)
 
     try:
         has_held = asyncio.run(run())
